--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts balancers for a simulator: batches of events come in on standard input, one reply for
 //! each goes out on standard output. No decision is made here.
 
-mod settings;
 mod wire;
 
 use linenreach::{Action, Balancer};
@@ -44,11 +43,11 @@
                     continue;
                 }
                 Record::Attach(seed, text) => {
-                    let settings = settings::parse(text).map_err(|e| Malformed {
+                    let settings = marllink_settings::parse(text).map_err(|e| Malformed {
                         what: format!("settings of instance {instance}: {e}"),
                         ..start
                     })?;
-                    self.balancers[at] = Some(Balancer::new(settings, seed, now));
+                    self.balancers[at] = Some(Balancer::new(settings.decisions, seed, now));
                     continue;
                 }
                 Record::Event(event) => event,
--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,114 @@
+//! What the balancer is told at its start: the file that `NODE_CONFIG` names, and the variables
+//! `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY`, which come before what the file says.
+
+use crate::protocol::discovery::List;
+use marllink_settings::Parsed;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// All that the balancer is told.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of form hosts as last known; may be old.
+    pub known: List,
+    /// The settings of the deployment.
+    pub settings: Parsed,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: FileLimits,
+    known: Option<List>,
+    settings: serde_json::Value,
+}
+
+#[derive(Deserialize)]
+struct FileLimits {
+    sockets: usize,
+}
+
+/// Reads the configuration; `variable` looks up the environment and `read` a file.
+///
+/// # Errors
+/// Says in one line what is missing or wrong, and where.
+pub fn load(
+    variable: impl Fn(&str) -> Option<String>,
+    read: impl Fn(&str) -> std::io::Result<Vec<u8>>,
+) -> Result<Config, String> {
+    let path = variable("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
+    let text = read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+    let file: File = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+    let told = |name: &str, key: &str, value: Option<String>| {
+        variable(name).or(value).ok_or(format!("neither {name} is set nor \"{key}\" in {path}"))
+    };
+    let address = |name: &str, key: &str, value: Option<String>| {
+        let text = told(name, key, value)?;
+        text.parse().map_err(|_| format!("{name}: \"{text}\" is no address with a port"))
+    };
+    Ok(Config {
+        name: told("NODE_NAME", "name", file.name)?,
+        listen: address("NODE_LISTEN", "listen", file.listen)?,
+        discovery: address("NODE_DISCOVERY", "discovery", file.discovery)?,
+        seed: u64::from_str_radix(&file.seed, 16)
+            .map_err(|_| format!("{path}: seed: \"{}\" is no hexadecimal number of 64 bits", file.seed))?,
+        sockets: file.limits.sockets,
+        known: file.known.unwrap_or(List { rev: 0, all: true, targets: Vec::new() }),
+        settings: marllink_settings::from_value(file.settings)
+            .map_err(|e| format!("{path}: settings: {e}"))?,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = r#"{"name":"n3","listen":"10.0.0.4:8000","discovery":"10.2.0.1:8500","seed":"8c1f30d27a5be964",
+        "limits":{"cores":1.0,"memory_mb":2048,"sockets":4096},"known":{"rev":41,"all":true,"targets":[]},
+        "settings":{"index":0,"balancers":2,"zone":0,"discovery":"on_request","classes":[],
+            "bounds":{"connectTimeoutMs":200.0,"maxAttempts":5},
+            "invariants":{"askWithinMs":10000.0,"coldFrom":0.3,"warmAfterMs":9000.0,"tipMultiple":3.0,"overloadForMs":3000.0}}}"#;
+
+    fn load_text(text: &str, listen: Option<&str>) -> Result<Config, String> {
+        let variable = |name: &str| match name {
+            "NODE_CONFIG" => Some("c.json".to_owned()),
+            "NODE_LISTEN" => listen.map(str::to_owned),
+            _ => None,
+        };
+        load(variable, |_| Ok(text.as_bytes().to_vec()))
+    }
+
+    #[test]
+    fn the_environment_comes_before_the_file() {
+        let config = load_text(FILE, Some("127.0.0.9:1")).expect("it is well formed");
+        assert_eq!((config.listen.to_string(), config.known.rev), ("127.0.0.9:1".to_owned(), 41));
+        assert_eq!((config.seed, config.sockets), (0x8c1f_30d2_7a5b_e964, 4096));
+    }
+
+    #[test]
+    fn what_is_wrong_is_said_in_one_line() {
+        let wrong = [
+            load(|_| None, |_| Ok(Vec::new())),
+            load_text("{", None),
+            load_text(FILE, Some("here")),
+            load_text(&FILE.replace("8c1f30d27a5be964", "no"), None),
+            load_text(&FILE.replace("maxAttempts", "attempts"), None),
+            load_text(&FILE.replace("\"name\"", "\"nom\""), None),
+        ];
+        let said: Vec<_> = wrong.into_iter().map(|w| w.expect_err("it is wrong")).collect();
+        insta::assert_snapshot!(said.join("\n"));
+    }
+}
--- /dev/null
+++ b/node/src/discovery.rs
@@ -0,0 +1,235 @@
+//! Discovery's client: fetches the list of form hosts and watches its changes.
+//!
+//! Calls are made only when the decisions ask for them; each is answered by a list or by word that
+//! it failed. When to ask again is theirs to decide.
+
+use crate::clock::{Clock, Millis};
+use crate::core::{Core, Membership};
+use crate::directory::Directory;
+use crate::protocol::discovery::{self as syntax, List};
+use crate::protocol::http::{self, Read};
+use crate::pump;
+use linenreach::{Event, ListKind};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// An answer must begin within this time; discovery itself gives up on a call before that.
+const ANSWER_MS: Millis = 4_000.0;
+/// A watch brings at least an empty line every 2 s; one that is silent for so long is lost.
+const SILENCE_MS: Millis = 4_500.0;
+/// No list comes near this; a longer body is refused.
+const LONGEST_BODY: usize = 16 * 1024 * 1024;
+
+/// Follows the list.
+pub struct Discovery {
+    core: Weak<Core>,
+    clock: Clock,
+    directory: Rc<Directory>,
+    address: SocketAddr,
+    zones: Vec<String>,
+    /// The version of the list in hand.
+    rev: Cell<u64>,
+    /// The watch that is open, if one is.
+    watch: RefCell<Option<AbortHandle>>,
+    me: Weak<Discovery>,
+}
+
+impl Discovery {
+    /// A client for the service at `address`.
+    pub fn new(
+        core: &Rc<Core>,
+        clock: Clock,
+        directory: Rc<Directory>,
+        address: SocketAddr,
+        zones: Vec<String>,
+    ) -> Rc<Self> {
+        Rc::new_cyclic(|me| Self {
+            core: Rc::downgrade(core),
+            clock,
+            directory,
+            address,
+            zones,
+            rev: Cell::new(0),
+            watch: RefCell::new(None),
+            me: me.clone(),
+        })
+    }
+
+    /// Begins with the list as it was known before the start; it may be old.
+    pub fn start_from(&self, known: &List) {
+        self.tell(known, ListKind::Cached);
+    }
+
+    /// Passes a list on. Changes that are part of the list in hand are passed over: discovery may
+    /// answer a call that was made before a later one was answered.
+    fn take(&self, list: &List) {
+        if list.all {
+            self.tell(list, ListKind::Full);
+        } else if list.rev > self.rev.get() {
+            self.tell(list, ListKind::Delta);
+        }
+    }
+
+    fn tell(&self, list: &List, kind: ListKind) {
+        self.rev.set(list.rev);
+        for target in &list.targets {
+            self.directory.insert(target.server(), target.endpoint);
+        }
+        let entries = list.targets.iter().map(|t| t.entry(&self.clock, &self.zones)).collect();
+        self.feed(Event::ServerList { kind, entries });
+    }
+
+    fn feed(&self, event: Event) {
+        if let Some(core) = self.core.upgrade() {
+            core.feed(event);
+        }
+    }
+
+    /// Makes a call; `None` if it is refused, breaks, or is not answered in time.
+    async fn call(&self, path: &str) -> Result<Body, String> {
+        let calling = async {
+            let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
+            let host = self.address;
+            let request = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n");
+            pump::write_all(&stream, request.as_bytes()).await.map_err(|e| e.to_string())?;
+            let mut raw = Vec::new();
+            loop {
+                match http::head(&raw) {
+                    Read::Whole(head, n) if head.status == 200 => {
+                        raw.drain(..n);
+                        return Ok(Body { stream, raw, head, text: Vec::new() });
+                    }
+                    Read::Whole(head, _) => return Err(format!("status {}", head.status)),
+                    Read::Malformed => return Err("no HTTP".into()),
+                    Read::Partial if !read_more(&stream, &mut raw).await? => return Err("cut off".into()),
+                    Read::Partial => {}
+                }
+            }
+        };
+        self.clock.within(ANSWER_MS, calling).await.unwrap_or_else(|| Err("no answer".into()))
+    }
+
+    /// Fetches the whole list.
+    async fn fetch_list(&self) -> Result<(), String> {
+        let mut body = self.call("/catalog/members").await?;
+        let whole = self.clock.within(ANSWER_MS, body.read_all()).await;
+        whole.unwrap_or_else(|| Err("no end of the list".into()))?;
+        self.take(&syntax::list(&body.text).ok_or("no list")?);
+        Ok(())
+    }
+
+    /// Watches the list until the watch ends, and tells why it did.
+    async fn watch_list(&self) -> Result<(), String> {
+        let path = format!("/catalog/members?watch=1&after={}", self.rev.get());
+        let mut body = self.call(&path).await?;
+        loop {
+            while let Some(line) = syntax::take_line(&mut body.text) {
+                // An empty line says that nothing has changed.
+                if !line.is_empty() {
+                    self.take(&syntax::list(&line).ok_or("no list")?);
+                }
+            }
+            match self.clock.within(SILENCE_MS, body.read_some()).await {
+                Some(Ok(true)) => {}
+                Some(Ok(false)) => return Err("the watch ended".into()),
+                Some(Err(error)) => return Err(error),
+                None => return Err("silence".into()),
+            }
+        }
+    }
+
+    fn failed(&self, call: &str, reason: &str) {
+        tracing::info!("discovery: {call}: {reason}");
+        self.feed(Event::ServerList { kind: ListKind::Failed, entries: Vec::new() });
+    }
+}
+
+impl Membership for Discovery {
+    fn fetch(&self) {
+        let Some(discovery) = self.me.upgrade() else { return };
+        tokio::task::spawn_local(async move {
+            if let Err(reason) = discovery.fetch_list().await {
+                discovery.failed("fetch", &reason);
+            }
+        });
+    }
+
+    fn watch(&self) {
+        let Some(discovery) = self.me.upgrade() else { return };
+        let watching = tokio::task::spawn_local(async move {
+            if let Err(reason) = discovery.watch_list().await {
+                discovery.failed("watch", &reason);
+            }
+        });
+        // Asking again while a watch is open is a new call, and the old one is no longer wanted.
+        if let Some(before) = self.watch.replace(Some(watching.abort_handle())) {
+            before.abort();
+        }
+    }
+}
+
+/// The body of an answer, as far as it has come.
+struct Body {
+    stream: TcpStream,
+    /// As it came, not yet taken apart.
+    raw: Vec<u8>,
+    head: http::Head,
+    /// Taken apart.
+    text: Vec<u8>,
+}
+
+impl Body {
+    /// Adds to the text; false at the end of the body.
+    async fn read_some(&mut self) -> Result<bool, String> {
+        loop {
+            if self.head.chunked {
+                match http::chunk(&self.raw) {
+                    Read::Whole([], _) => return Ok(false),
+                    Read::Whole(chunk, n) => {
+                        self.text.extend_from_slice(chunk);
+                        self.raw.drain(..n);
+                        return self.bounded();
+                    }
+                    Read::Malformed => return Err("no chunk".into()),
+                    Read::Partial => {}
+                }
+            } else if !self.raw.is_empty() {
+                self.text.append(&mut self.raw);
+                return self.bounded();
+            } else if self.head.length.is_some_and(|length| self.text.len() >= length) {
+                return Ok(false);
+            }
+            if !read_more(&self.stream, &mut self.raw).await? {
+                // Only a body of neither chunks nor a length ends with its connection.
+                let whole = !self.head.chunked && self.head.length.is_none();
+                return if whole { Ok(false) } else { Err("cut off".into()) };
+            }
+        }
+    }
+
+    fn bounded(&self) -> Result<bool, String> {
+        if self.text.len() > LONGEST_BODY { Err("a list without an end".into()) } else { Ok(true) }
+    }
+
+    async fn read_all(&mut self) -> Result<(), String> {
+        while self.read_some().await? {}
+        Ok(())
+    }
+}
+
+/// Reads what there is; false at the end of the connection.
+async fn read_more(stream: &TcpStream, to: &mut Vec<u8>) -> Result<bool, String> {
+    loop {
+        stream.readable().await.map_err(|e| e.to_string())?;
+        let before = to.len();
+        to.reserve(4_096);
+        match stream.try_read_buf(to) {
+            Ok(_) => return Ok(to.len() > before),
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/exchange.rs
@@ -0,0 +1,559 @@
+//! Where the client side and the server side meet.
+//!
+//! The exchange owns each request from its first line to its end: which attempt is out for it,
+//! whether it has had its one final answer, and the rings between its two sockets. The client
+//! side holds a [`Ticket`] and the server side an [`Errand`]; each gives back what it stands for
+//! when it is dropped, however its task ends.
+
+use crate::clock::{Clock, Millis};
+use crate::core::{Core, Requests};
+use crate::delay::{Delays, Waiting};
+use crate::descriptors::{Descriptor, Descriptors};
+use crate::directory::Directory;
+use crate::protocol::line::{self, Opening};
+use crate::protocol::report::{self, Report};
+use crate::ring::{End, Ring};
+use linenreach::{AttemptNo, ClassId, Event, NewRequest, Outcome, RequestId, ServerId, TenantId};
+use marllink_settings::Parsed;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use tokio::sync::{Notify, mpsc};
+
+/// A client's answer is sent so long before it gives up: the way back takes time as well.
+const ANSWER_MARGIN_MS: Millis = 10.0;
+/// How long a connection without a time of its own may take to come up.
+const NO_DEADLINE_MS: Millis = 40_000.0;
+/// A form host that has owed an answer for so long and sent nothing is lost: the connection must
+/// end within 7 s of its last sign of life, and clients send a line every 2 s.
+const SILENT_MS: Millis = 4_500.0;
+/// How often silent connections are looked for.
+const SWEEP_MS: Millis = 250.0;
+
+/// The two directions of a connection.
+#[derive(Debug)]
+pub struct Pipe {
+    /// From the client to its form host.
+    pub up: Ring,
+    /// From the form host to the client.
+    pub down: Ring,
+    standing: Cell<bool>,
+    waiting: RefCell<Waiting>,
+}
+
+impl Pipe {
+    /// Two empty rings.
+    pub fn new() -> Rc<Self> {
+        let (up, down) = (Ring::new(), Ring::new());
+        Rc::new(Self { up, down, standing: Cell::new(false), waiting: RefCell::default() })
+    }
+
+    /// True once the form host has taken the connection.
+    pub fn standing(&self) -> bool {
+        self.standing.get()
+    }
+}
+
+/// What the server side is to do.
+#[derive(Debug)]
+pub enum Order {
+    /// An attempt.
+    Attempt(Attempt),
+    /// A probe.
+    Probe(Probe),
+}
+
+/// An attempt to be made.
+#[derive(Debug)]
+pub struct Attempt {
+    /// Where the form host is reached.
+    pub address: SocketAddr,
+    /// What the client asked.
+    pub opening: Rc<Opening>,
+    /// How long the attempt may take until it stands.
+    pub wait_ms: Millis,
+    /// The connection's two directions.
+    pub pipe: Rc<Pipe>,
+    /// Tells the exchange what becomes of it.
+    pub errand: Errand,
+    /// For its socket.
+    pub descriptor: Descriptor,
+}
+
+/// A probe to be made.
+#[derive(Debug)]
+pub struct Probe {
+    /// Where the form host is reached.
+    pub address: SocketAddr,
+    /// Whom to tell.
+    pub result: ProbeResult,
+    /// For its socket.
+    pub descriptor: Descriptor,
+}
+
+enum Phase {
+    /// The client waits for its final answer.
+    Waiting,
+    /// Its connection stands.
+    Standing,
+    /// It has had its final answer, or its connection has ended, or it has left.
+    Over,
+}
+
+struct Entry {
+    opening: Rc<Opening>,
+    pipe: Rc<Pipe>,
+    phase: Phase,
+    /// Attempts made.
+    attempts: u8,
+    /// The attempt that is out.
+    out: Option<Out>,
+    /// One that waits for that to end.
+    next: Option<(ServerId, Millis)>,
+    /// The client side still holds its ticket.
+    held: bool,
+}
+
+struct Out {
+    attempt: AttemptNo,
+    server: ServerId,
+    called_off: Rc<Notify>,
+}
+
+/// Pairs clients with attempts.
+pub struct Exchange {
+    core: Rc<Core>,
+    clock: Clock,
+    directory: Rc<Directory>,
+    descriptors: Rc<Descriptors>,
+    settings: Parsed,
+    orders: mpsc::UnboundedSender<Order>,
+    entries: RefCell<BTreeMap<RequestId, Entry>>,
+    delays: RefCell<Delays>,
+    emptied: Notify,
+    me: Weak<Exchange>,
+}
+
+impl Exchange {
+    /// An exchange that hands its orders to the server side by `orders`.
+    pub fn new(
+        core: Rc<Core>,
+        clock: Clock,
+        directory: Rc<Directory>,
+        descriptors: Rc<Descriptors>,
+        settings: Parsed,
+        orders: mpsc::UnboundedSender<Order>,
+    ) -> Rc<Self> {
+        let aims = settings.decisions.classes.iter().map(|c| c.message_aim_ms).filter(|aim| *aim > 0.0);
+        let delays = RefCell::new(Delays::new(aims.fold(f64::INFINITY, f64::min)));
+        Rc::new_cyclic(|me| Self {
+            core,
+            clock,
+            directory,
+            descriptors,
+            settings,
+            orders,
+            entries: RefCell::default(),
+            delays,
+            emptied: Notify::new(),
+            me: me.clone(),
+        })
+    }
+
+    /// Takes a client's request. From here on it is owed exactly one final answer, which comes by
+    /// `pipe`. A connection that was open before goes to its form host, once that is known.
+    pub async fn open(&self, opening: Opening, pipe: Rc<Pipe>) -> Option<Ticket> {
+        let at = opening.at.as_deref().map(|uid| ServerId(line::number_of(uid)));
+        let wait_ms = opening.wait_ms.unwrap_or(NO_DEADLINE_MS) - ANSWER_MARGIN_MS;
+        let taken_at = self.clock.now();
+        if let Some(server) = at {
+            self.clock.within(wait_ms, self.directory.known(server)).await?;
+        }
+        let id = self.core.number_request();
+        let names = &self.settings.names;
+        let index =
+            |names: &[String], wanted: &str| names.iter().position(|name| name == wanted).unwrap_or(0) as u16;
+        let new = NewRequest {
+            request: id,
+            class: ClassId(index(&names.classes, &opening.class)),
+            tenant: TenantId(opening.tenant.as_deref().map_or(0, |tenant| index(&names.tenants, tenant))),
+            key: opening.key,
+            group: opening.group,
+            time_left_ms: wait_ms - (self.clock.now() - taken_at),
+            retry: opening.retry,
+            mid_flow: false,
+        };
+        let entry = Entry {
+            opening: Rc::new(opening),
+            pipe,
+            phase: Phase::Waiting,
+            attempts: 0,
+            out: None,
+            next: None,
+            held: true,
+        };
+        self.entries.borrow_mut().insert(id, entry);
+        let time_left_ms = new.time_left_ms;
+        match at {
+            None => self.core.feed(Event::Request(new)),
+            Some(server) => {
+                self.core.feed(Event::OpenConnection { request: new, server });
+                self.send(id, server, time_left_ms);
+            }
+        }
+        let exchange = self.me.upgrade().expect("it is in use");
+        Some(Ticket { exchange, id, wait_ms: time_left_ms })
+    }
+
+    /// Looks for connections whose form host has gone silent, and tells of slow messages.
+    pub async fn watch_over(&self) {
+        let mut told_at = self.clock.now();
+        loop {
+            self.clock.sleep(SWEEP_MS).await;
+            let now = self.clock.now();
+            self.end_silent(now);
+            if now - told_at >= 1_000.0 {
+                told_at = now;
+                self.tell_delays(now);
+            }
+        }
+    }
+
+    /// A machine that has vanished says nothing: its connections would stay open for ever.
+    fn end_silent(&self, now: Millis) {
+        let silent = |e: &Entry| {
+            matches!(e.phase, Phase::Standing) && e.pipe.waiting.borrow().silent_for(now) > SILENT_MS
+        };
+        for entry in self.entries.borrow().values().filter(|e| silent(e)) {
+            entry.pipe.down.end(End::Reset);
+            if let Some(out) = &entry.out {
+                out.called_off.notify_one();
+            }
+        }
+    }
+
+    fn tell_delays(&self, now: Millis) {
+        let notes = {
+            let entries = self.entries.borrow();
+            let standing = |e: &Entry| matches!(e.phase, Phase::Standing);
+            let waiting = entries.iter().filter(|(_, e)| standing(e)).filter_map(|(id, e)| {
+                Some((e.out.as_ref()?.server, *id, e.pipe.waiting.borrow().oldest(now)?))
+            });
+            self.delays.borrow_mut().notes(now, waiting, |id| entries.get(&id).is_some_and(standing))
+        };
+        for (request, delay_ms) in notes {
+            self.core.feed(Event::MessageDelay { request, delay_ms });
+        }
+    }
+
+    /// Moves every connection that stands.
+    pub fn move_all(&self) {
+        let standing = |e: &Entry| matches!(e.phase, Phase::Standing);
+        let ids: Vec<_> =
+            self.entries.borrow().iter().filter(|(_, e)| standing(e)).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.move_client(id);
+        }
+    }
+
+    /// Requests that are not over yet.
+    pub fn len(&self) -> usize {
+        self.entries.borrow().len()
+    }
+
+    /// Waits until no request is left.
+    pub async fn until_empty(&self) {
+        while self.len() > 0 {
+            self.emptied.notified().await;
+        }
+    }
+
+    /// Gives the final answer, if the client is still owed one.
+    fn answer(&self, id: RequestId, line: String) {
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&id) else { return };
+        if !matches!(entry.phase, Phase::Waiting) {
+            return;
+        }
+        finish(entry, End::Farewell(line));
+        drop(entries);
+        self.forget(id);
+    }
+
+    /// The client side is done with a request.
+    fn client_left(&self, id: RequestId) {
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&id) else { return };
+        entry.held = false;
+        let left = !matches!(entry.phase, Phase::Over);
+        finish(entry, End::Reset);
+        drop(entries);
+        if left {
+            self.core.feed(Event::ClientGone(id));
+        }
+        self.forget(id);
+    }
+
+    /// An attempt is over, and its socket closed.
+    fn attempt_ended(&self, id: RequestId, attempt: AttemptNo, outcome: Outcome) {
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&id) else { return };
+        entry.out = None;
+        if matches!(entry.phase, Phase::Standing) || outcome == Outcome::Ok {
+            // What the form host sent last goes out first. A broken stream has ended for its
+            // client as well; nothing may follow it.
+            let end = if outcome == Outcome::Reset { End::Reset } else { End::Closed };
+            finish(entry, end);
+        }
+        let closed = matches!(entry.phase, Phase::Over);
+        let next = entry.next.take();
+        drop(entries);
+        self.core.feed(Event::AttemptEnded { request: id, attempt, outcome, closed });
+        if let Some((server, timeout_ms)) = next {
+            self.send(id, server, timeout_ms);
+        }
+        self.forget(id);
+    }
+
+    /// Gives up the entry of a request that is over and of which neither side holds anything.
+    fn forget(&self, id: RequestId) {
+        let mut entries = self.entries.borrow_mut();
+        let done = |e: &Entry| matches!(e.phase, Phase::Over) && e.out.is_none() && !e.held;
+        if entries.get(&id).is_some_and(done) {
+            entries.remove(&id);
+        }
+        if entries.is_empty() {
+            self.emptied.notify_waiters();
+        }
+    }
+}
+
+/// Ends a request for both sides: the client gets the end given, the attempt is called off.
+fn finish(entry: &mut Entry, end: End) {
+    let reset = end == End::Reset;
+    entry.phase = Phase::Over;
+    entry.next = None;
+    entry.pipe.down.end(end);
+    entry.pipe.up.end(if reset { End::Reset } else { End::Closed });
+    if let Some(out) = &entry.out {
+        out.called_off.notify_one();
+    }
+}
+
+impl Requests for Exchange {
+    fn send(&self, id: RequestId, server: ServerId, timeout_ms: Millis) {
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&id) else { return };
+        if let Some(out) = &entry.out {
+            // One attempt out at a time: this one goes out once the other's socket is closed.
+            out.called_off.notify_one();
+            entry.next = Some((server, timeout_ms));
+            return;
+        }
+        let attempt = AttemptNo(entry.attempts);
+        entry.attempts = entry.attempts.saturating_add(1);
+        let allowed = matches!(entry.phase, Phase::Waiting)
+            && entry.attempts <= self.settings.decisions.limits.max_attempts.max(1);
+        let way = self.directory.address(server).filter(|_| allowed);
+        let Some((address, descriptor)) = way.and_then(|a| Some((a, self.descriptors.take()?))) else {
+            let closed = matches!(entry.phase, Phase::Over);
+            drop(entries);
+            let outcome = Outcome::NotSent;
+            self.core.feed(Event::AttemptEnded { request: id, attempt, outcome, closed });
+            return;
+        };
+        let called_off = Rc::new(Notify::new());
+        entry.out = Some(Out { attempt, server, called_off: called_off.clone() });
+        let errand = Errand {
+            exchange: self.me.upgrade().expect("it is in use"),
+            id,
+            attempt,
+            server,
+            called_off,
+            sent_at: self.clock.now(),
+            outcome: Outcome::Cancelled,
+        };
+        let (opening, pipe) = (entry.opening.clone(), entry.pipe.clone());
+        drop(entries);
+        let attempt = Attempt { address, opening, wait_ms: timeout_ms, pipe, errand, descriptor };
+        // If the server side has ended, so has the program; the errand's drop ends the attempt.
+        let _ = self.orders.send(Order::Attempt(attempt));
+    }
+
+    fn cancel(&self, id: RequestId, attempt: AttemptNo) {
+        let entries = self.entries.borrow();
+        let Some(entry) = entries.get(&id) else { return };
+        // One whose stream has begun is not called off.
+        if let Some(out) = entry.out.as_ref().filter(|o| o.attempt == attempt)
+            && !matches!(entry.phase, Phase::Standing)
+        {
+            out.called_off.notify_one();
+        }
+    }
+
+    fn refuse(&self, id: RequestId, retry_after_ms: Millis) {
+        self.answer(id, line::busy(retry_after_ms));
+    }
+
+    fn fail(&self, id: RequestId) {
+        self.answer(id, "ERR\r\n".into());
+    }
+
+    fn move_client(&self, id: RequestId) {
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&id) else { return };
+        if matches!(entry.phase, Phase::Standing) {
+            finish(entry, End::Farewell("MOVE\r\n".into()));
+        }
+    }
+
+    fn probe(&self, server: ServerId) {
+        let result = ProbeResult { exchange: self.me.clone(), server, ok: false, report: Vec::new() };
+        let way = self.directory.address(server);
+        if let Some((address, descriptor)) = way.and_then(|a| Some((a, self.descriptors.take()?))) {
+            let _ = self.orders.send(Order::Probe(Probe { address, result, descriptor }));
+        }
+    }
+}
+
+/// What the client side holds of a request. Dropped, it tells that the client has left.
+pub struct Ticket {
+    exchange: Rc<Exchange>,
+    id: RequestId,
+    wait_ms: Millis,
+}
+
+impl Ticket {
+    /// How long the client still waited when the request was taken.
+    pub fn wait_ms(&self) -> Millis {
+        self.wait_ms
+    }
+
+    /// The client has sent whole lines: they go on.
+    pub fn sent(&self, pipe: &Pipe) {
+        let now = self.exchange.clock.now();
+        while let Some(line) = pipe.up.line() {
+            pipe.waiting.borrow_mut().sent(now);
+            pipe.up.commit(line.len());
+        }
+        // Half a line goes on as well; only the way down must be cut between lines.
+        pipe.up.commit(pipe.up.held());
+    }
+
+    /// The client's time is over. A guard: the decisions answer before that.
+    pub fn overdue(&self) {
+        let waiting = |e: &Entry| matches!(e.phase, Phase::Waiting);
+        if self.exchange.entries.borrow().get(&self.id).is_some_and(waiting) {
+            tracing::error!(request = self.id.0, "no answer was decided in time");
+            self.exchange.answer(self.id, "ERR\r\n".into());
+            self.exchange.core.feed(Event::ClientGone(self.id));
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.exchange.client_left(self.id);
+    }
+}
+
+/// What the server side holds of an attempt. Dropped, it tells how the attempt ended; its socket
+/// must be closed by then, as the next attempt may follow at once.
+pub struct Errand {
+    exchange: Rc<Exchange>,
+    id: RequestId,
+    attempt: AttemptNo,
+    server: ServerId,
+    called_off: Rc<Notify>,
+    sent_at: Millis,
+    outcome: Outcome,
+}
+
+impl std::fmt::Debug for Errand {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Errand({:?}, {:?}, {:?})", self.id, self.attempt, self.server)
+    }
+}
+
+impl Errand {
+    /// Waits until the attempt is called off.
+    pub fn called_off(&self) -> impl Future<Output = ()> + use<> {
+        let called_off = self.called_off.clone();
+        async move { called_off.notified().await }
+    }
+
+    /// The form host has taken the connection. False if the client needs it no more.
+    pub fn established(&self) -> bool {
+        let exchange = &self.exchange;
+        let mut entries = exchange.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&self.id) else { return false };
+        if !matches!(entry.phase, Phase::Waiting) {
+            return false;
+        }
+        entry.phase = Phase::Standing;
+        entry.pipe.standing.set(true);
+        drop(entries);
+        let latency_ms = exchange.clock.now() - self.sent_at;
+        exchange.core.feed(Event::Established { request: self.id, attempt: self.attempt, latency_ms });
+        true
+    }
+
+    /// The form host has told the connection's load.
+    pub fn load(&self, pipe: &Pipe, load: f64) {
+        pipe.waiting.borrow_mut().heard(self.exchange.clock.now());
+        self.exchange.core.feed(Event::ConnectionLoad { request: self.id, load });
+    }
+
+    /// The form host has sent another line.
+    pub fn answered(&self, pipe: &Pipe) {
+        let now = self.exchange.clock.now();
+        if let Some(took) = pipe.waiting.borrow_mut().answered(now) {
+            self.exchange.delays.borrow_mut().sample(now, self.server, self.id, took);
+        }
+    }
+
+    /// How the attempt ended. To be called once its socket is closed.
+    pub fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Errand {
+    fn drop(&mut self) {
+        self.exchange.attempt_ended(self.id, self.attempt, self.outcome);
+    }
+}
+
+/// Tells a probe's result when it is dropped; a failure unless an answer came.
+pub struct ProbeResult {
+    exchange: Weak<Exchange>,
+    server: ServerId,
+    ok: bool,
+    report: Vec<f32>,
+}
+
+impl std::fmt::Debug for ProbeResult {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "ProbeResult({:?})", self.server)
+    }
+}
+
+impl ProbeResult {
+    /// The form host has answered.
+    pub fn answered(&mut self, report: &Report) {
+        if let Some(exchange) = self.exchange.upgrade() {
+            self.report = report::in_order(report, &exchange.settings.names.report_fields);
+            self.ok = true;
+        }
+    }
+}
+
+impl Drop for ProbeResult {
+    fn drop(&mut self) {
+        if let Some(exchange) = self.exchange.upgrade() {
+            let (server, ok, report) = (self.server, self.ok, std::mem::take(&mut self.report));
+            exchange.core.feed(Event::ProbeResult { server, ok, report });
+        }
+    }
+}
--- /dev/null
+++ b/node/src/protocol/line.rs
@@ -0,0 +1,265 @@
+//! Lines between clients, balancers and form hosts: text that CRLF ends.
+
+use super::report::{self, Report};
+use std::ops::Range;
+use winnow::ascii::{dec_uint, float};
+use winnow::combinator::{alt, delimited, opt, preceded, separated, terminated};
+use winnow::prelude::*;
+use winnow::stream::LocatingSlice;
+use winnow::token::{literal, take_till, take_while};
+
+/// The longest line in bytes, its end included.
+pub const LONGEST: usize = 4 * 1024;
+
+type Text<'a> = LocatingSlice<&'a [u8]>;
+
+/// A line that asks for a connection.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Opening {
+    /// The line as it came, its end included.
+    line: Vec<u8>,
+    /// Where the value of `d` stands in it.
+    wait_at: Option<Range<usize>>,
+    /// Its id.
+    pub id: String,
+    /// The flow's key.
+    pub key: u64,
+    /// The class, by name.
+    pub class: String,
+    /// The tenant, by name.
+    pub tenant: Option<String>,
+    /// How long the client waits, in milliseconds.
+    pub wait_ms: Option<f64>,
+    /// The client or the group that it belongs to; 0 for none.
+    pub group: u64,
+    /// A client's retry.
+    pub retry: bool,
+    /// The form host at which the connection was open before.
+    pub at: Option<String>,
+}
+
+impl Opening {
+    /// The line for a form host: unchanged, but that it tells how long the balancer will wait.
+    pub fn for_host(&self, wait_ms: f64) -> Vec<u8> {
+        let Some(at) = &self.wait_at else { return self.line.clone() };
+        let mut line = self.line[..at.start].to_vec();
+        // Rounded down: the host must not be told of time that is not there.
+        line.extend((wait_ms.max(1.0) as u64).to_string().bytes());
+        line.extend_from_slice(&self.line[at.end..]);
+        line
+    }
+}
+
+/// What a client's connection begins with.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Hello {
+    /// It asks whether the balancer serves.
+    Ping,
+    /// It asks for a connection.
+    Open(Box<Opening>),
+}
+
+/// A line from a form host.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The connection stands.
+    Up,
+    /// It was served to its end.
+    Bye(Report),
+    /// An error.
+    Err(Report),
+    /// Turned away unseen.
+    Busy(Report),
+    /// The client is sent away.
+    Move,
+    /// The connection's load is now this.
+    Load(f64),
+    /// A probe's answer.
+    Pong(Report),
+    /// Anything else.
+    Other,
+}
+
+/// Reads a client's first line, its end included. `None` if it is not of the protocol.
+pub fn hello(line: &[u8]) -> Option<Hello> {
+    let text = LocatingSlice::new(line);
+    let ping = terminated(literal("PING"), line_end).value(None);
+    let opening = alt((ping, opening.map(Some))).parse(text).ok()?;
+    Some(match opening {
+        None => Hello::Ping,
+        Some(mut opening) => {
+            opening.line = line.to_vec();
+            Hello::Open(Box::new(opening))
+        }
+    })
+}
+
+/// Reads a line of a form host, its end included.
+pub fn reply(line: &[u8]) -> Reply {
+    let mut any = alt((
+        delimited(literal("UP "), take_till(1.., is_end), line_end).value(Reply::Up),
+        delimited(literal("BYE"), tail, line_end).map(Reply::Bye),
+        delimited(literal("ERR"), tail, line_end).map(Reply::Err),
+        delimited(literal("BUSY"), tail, line_end).map(Reply::Busy),
+        delimited(literal("PONG"), tail, line_end).map(Reply::Pong),
+        terminated(literal("MOVE"), line_end).value(Reply::Move),
+        delimited(literal("LOAD "), float::<_, f64, _>.verify(|x| x.is_finite()), line_end).map(Reply::Load),
+    ));
+    any.parse(LocatingSlice::new(line)).unwrap_or(Reply::Other)
+}
+
+/// The answer to a client that is refused, with advice when to come again; 0 for none.
+pub fn busy(retry_after_ms: f64) -> String {
+    if retry_after_ms > 0.0 {
+        format!("BUSY {}\r\n", retry_after_ms.ceil().min(9e15) as u64)
+    } else {
+        "BUSY\r\n".into()
+    }
+}
+
+/// A form host's name as a number that is the same at every balancer: FNV-1a, 64 bits.
+pub fn number_of(name: &str) -> u64 {
+    name.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
+}
+
+/// A name that should be hexadecimal; one that is not is as good as another number.
+fn hex_or_name(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| number_of(text))
+}
+
+fn is_end(byte: u8) -> bool {
+    byte == b'\r' || byte == b'\n'
+}
+
+fn line_end(input: &mut Text<'_>) -> ModalResult<()> {
+    (opt(b'\r'), b'\n').void().parse_next(input)
+}
+
+fn word<'a>(input: &mut Text<'a>) -> ModalResult<&'a str> {
+    take_while(1.., |b: u8| b.is_ascii_graphic()).try_map(std::str::from_utf8).parse_next(input)
+}
+
+fn tail(input: &mut Text<'_>) -> ModalResult<Report> {
+    let text = opt(preceded(b' ', take_till(0.., is_end))).parse_next(input)?;
+    // Words that are no report say nothing of the load, and the answer holds all the same.
+    Ok(text.and_then(report::parse).unwrap_or_default())
+}
+
+fn pair<'a>(input: &mut Text<'a>) -> ModalResult<(&'a str, (&'a str, Range<usize>))> {
+    let name = take_while(1.., |b: u8| b.is_ascii_alphanumeric() || b == b'_');
+    let value = take_while(0.., |b: u8| b.is_ascii_graphic() && b != b',');
+    let name = terminated(name.try_map(std::str::from_utf8), b'=').parse_next(input)?;
+    let value = value.try_map(std::str::from_utf8).with_span().parse_next(input)?;
+    Ok((name, value))
+}
+
+fn opening(input: &mut Text<'_>) -> ModalResult<Opening> {
+    let id = preceded(literal("OPEN "), word).parse_next(input)?;
+    let key = preceded(b' ', word).parse_next(input)?;
+    let pairs: Vec<_> = preceded(b' ', separated(0.., pair, b',')).parse_next(input)?;
+    line_end.parse_next(input)?;
+    let value = |wanted| pairs.iter().find(|(name, _)| *name == wanted).map(|(_, value)| value.clone());
+    let text = |wanted| value(wanted).map(|(text, _)| text.to_owned());
+    let wait = value("d");
+    let wait_ms = match &wait {
+        Some((text, _)) => {
+            let ms = terminated(dec_uint::<_, u32, winnow::error::ContextError>, winnow::combinator::eof);
+            let ms = { ms }.parse_next(&mut text.as_bytes());
+            Some(f64::from(ms.map_err(|_| winnow::error::ErrMode::Cut(winnow::error::ContextError::new()))?))
+        }
+        None => None,
+    };
+    Ok(Opening {
+        line: Vec::new(),
+        wait_at: wait.map(|(_, at)| at),
+        id: id.to_owned(),
+        key: hex_or_name(key),
+        class: text("c").unwrap_or_default(),
+        tenant: text("t"),
+        wait_ms,
+        group: value("g").map_or(0, |(text, _)| hex_or_name(text)),
+        retry: value("r").is_some_and(|(text, _)| text == "1"),
+        at: text("at"),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LINE: &[u8] =
+        b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=2000,g=5c0f6e1a2b3d4c59,r=1,x=0.5\r\n";
+
+    fn open(line: &[u8]) -> Option<Opening> {
+        match hello(line)? {
+            Hello::Open(opening) => Some(*opening),
+            Hello::Ping => None,
+        }
+    }
+
+    #[test]
+    fn an_opening_is_read_and_goes_on_with_only_its_wait_changed() {
+        let opening = open(LINE).expect("it is well formed");
+        assert_eq!((opening.id.as_str(), opening.key), ("9b1f03aa5c7e2d41", 0x7f3a_9c21_e0b4_d655));
+        assert_eq!((opening.class.as_str(), opening.group), ("chat", 0x5c0f_6e1a_2b3d_4c59));
+        assert_eq!((opening.wait_ms, opening.retry, &opening.at), (Some(2000.0), true, &None));
+        let line = String::from_utf8(opening.for_host(981.7)).expect("it is text");
+        assert_eq!(line, String::from_utf8_lossy(LINE).replace("d=2000", "d=981"));
+    }
+
+    #[test]
+    fn what_is_split_overlong_or_garbage_is_no_hello() {
+        for end in 0..LINE.len() {
+            assert_eq!(hello(&LINE[..end]), None, "the first {end} bytes");
+        }
+        let long = [b"OPEN a b c=".as_slice(), &vec![b'x'; 100_000], b"\r\n"].concat();
+        assert!(open(&long).is_some(), "the reader bounds lines, not the parser");
+        for line in [
+            &b"\r\n"[..],
+            b"OPEN\r\n",
+            b"OPEN a\r\n",
+            b"OPEN a b c\r\n",
+            b"OPEN a b d=x\r\n",
+            b"OPEN a b d=-1\r\n",
+            b"OPEN a b d=99999999999999999999\r\n",
+            b"open a b c=x\r\n",
+            b"OPEN a b c=x\r\nPING\r\n",
+            b"PING \r\n",
+            b"\xff\xfe\x00\r\n",
+            b"GET / HTTP/1.1\r\n",
+        ] {
+            assert_eq!(hello(line), None, "{:?}", String::from_utf8_lossy(line));
+        }
+        assert_eq!(hello(b"PING\r\n"), Some(Hello::Ping));
+    }
+
+    #[test]
+    fn the_lines_of_a_form_host_are_told_apart() {
+        let lines = [
+            "UP 5f",
+            "UP",
+            "BYE",
+            "BYE inflight=7,queue=2",
+            "ERR",
+            "ERR what?",
+            "BUSY inflight=9",
+            "MOVE",
+            "MOVER",
+            "LOAD 12.5",
+            "LOAD nan",
+            "LOAD",
+            "PONG x0=0.4,inflight=3",
+            "hello",
+        ];
+        let read: Vec<_> =
+            lines.iter().map(|l| format!("{l}: {:?}", reply(format!("{l}\r\n").as_bytes()))).collect();
+        insta::assert_snapshot!(read.join("\n"));
+    }
+
+    #[test]
+    fn a_refusal_says_when_to_come_again() {
+        assert_eq!(busy(0.0), "BUSY\r\n");
+        assert_eq!(busy(249.2), "BUSY 250\r\n");
+    }
+}
--- /dev/null
+++ b/node/src/pump.rs
@@ -0,0 +1,79 @@
+//! Moves bytes between a socket and a ring.
+
+use crate::ring::{End, Ring};
+use socket2::SockRef;
+use std::io;
+use std::net::Shutdown;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Fills the ring with what the socket brings, until the sender ends its sending, the connection
+/// breaks, or the direction ends; `arrived` is called after each fill and tells whether to go on.
+/// Tells how the sender ended, and leaves it to the caller to end the direction likewise.
+pub async fn fill(stream: &TcpStream, ring: &Ring, mut arrived: impl FnMut() -> bool) -> Option<End> {
+    while ring.room().await {
+        // The direction may end while nothing comes.
+        let readable = tokio::select! {
+            readable = stream.readable() => readable,
+            () = ring.closed() => return None,
+        };
+        match readable.and_then(|()| ring.fill(|room| stream.try_read(room))) {
+            Ok(0) => return Some(End::Closed),
+            Ok(_) if arrived() => {}
+            Ok(_) => return Some(End::Reset),
+            Err(e) if again(&e) => {}
+            Err(_) => return Some(End::Reset),
+        }
+    }
+    None
+}
+
+/// Sends what the ring holds, and ends the direction on the socket as it ended in the ring. True
+/// if the other direction may go on.
+pub async fn empty(ring: &Ring, stream: &TcpStream) -> bool {
+    loop {
+        match ring.ready().await {
+            None => {
+                let written = stream.writable().await;
+                match written.and_then(|()| ring.empty(|bytes| stream.try_write(bytes))) {
+                    Ok(_) => {}
+                    Err(e) if again(&e) => {}
+                    Err(_) => return false,
+                }
+            }
+            Some(End::Closed) => return SockRef::from(stream).shutdown(Shutdown::Write).is_ok(),
+            Some(End::Reset) => {
+                reset(stream);
+                return false;
+            }
+            Some(End::Farewell(line)) => {
+                // Who does not take its last line in time does not get it.
+                let _ = write_all(stream, line.as_bytes()).await;
+                return false;
+            }
+        }
+    }
+}
+
+/// Writes all bytes.
+pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(bytes) {
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if again(&e) => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Has the socket reset when it is closed.
+pub fn reset(stream: &TcpStream) {
+    // It may be broken already, which is as good.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+fn again(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
--- /dev/null
+++ b/node/src/server.rs
@@ -0,0 +1,206 @@
+//! The server side: makes attempts and probes at form hosts. Knows nothing of clients.
+
+use crate::clock::{Clock, Millis};
+use crate::exchange::{Attempt, Errand, Order, Pipe, Probe};
+use crate::protocol::line::{self, LONGEST, Reply};
+use crate::pump;
+use crate::ring::{End, Ring};
+use linenreach::Outcome;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// When one direction has ended, the other has so long to end as well.
+const LINGER_MS: Millis = 5_000.0;
+/// A probe that has no answer by then has failed.
+const PROBE_MS: Millis = 1_000.0;
+
+/// The server side.
+#[derive(Clone)]
+pub struct Servers {
+    /// For the time limits.
+    pub clock: Clock,
+    /// An attempt that has found no connection by then fails.
+    pub connect_timeout_ms: Millis,
+    /// Form hosts answer probes with a load report.
+    pub reports: bool,
+}
+
+impl Servers {
+    /// Carries out orders for ever.
+    pub async fn run(self, mut orders: mpsc::UnboundedReceiver<Order>) {
+        while let Some(order) = orders.recv().await {
+            let servers = self.clone();
+            tokio::task::spawn_local(async move {
+                match order {
+                    Order::Attempt(attempt) => servers.attempt(attempt).await,
+                    Order::Probe(probe) => servers.probe(probe).await,
+                }
+            });
+        }
+    }
+
+    /// Makes an attempt and, if it stands, carries its connection to the end.
+    async fn attempt(&self, attempt: Attempt) {
+        let Attempt { address, opening, wait_ms, pipe, errand, descriptor } = attempt;
+        let until = self.clock.now() + wait_ms;
+        let connecting = self.connect(address, wait_ms);
+        let stream = tokio::select! {
+            biased;
+            () = errand.called_off() => Err(Outcome::Cancelled),
+            stream = connecting => stream.ok_or(Outcome::ConnectFailed),
+        };
+        let outcome = match stream {
+            Ok(stream) => {
+                let talk = async {
+                    let left = until - self.clock.now();
+                    let head = opening.for_host(left);
+                    match self.set_up(&stream, &head, left, &pipe, &errand).await {
+                        Ok(()) => self.stand(&stream, &pipe, &errand).await,
+                        Err(outcome) => outcome,
+                    }
+                };
+                let outcome = tokio::select! {
+                    biased;
+                    () = errand.called_off() => Outcome::Cancelled,
+                    outcome = talk => outcome,
+                };
+                if pipe.up.broken() {
+                    pump::reset(&stream);
+                }
+                outcome
+            }
+            Err(outcome) => outcome,
+        };
+        // The socket is closed by now: an attempt that has ended must not be out any more.
+        drop(descriptor);
+        errand.end(outcome);
+    }
+
+    async fn connect(&self, address: SocketAddr, wait_ms: Millis) -> Option<TcpStream> {
+        let limit = self.connect_timeout_ms.min(wait_ms);
+        let stream = self.clock.within(limit, TcpStream::connect(address)).await?.ok()?;
+        // Lines are short and must not wait for others.
+        let _ = stream.set_nodelay(true);
+        Some(stream)
+    }
+
+    /// Sends the first line and waits for the answer.
+    async fn set_up(
+        &self,
+        stream: &TcpStream,
+        head: &[u8],
+        wait_ms: Millis,
+        pipe: &Pipe,
+        errand: &Errand,
+    ) -> Result<(), Outcome> {
+        let until = self.clock.now() + wait_ms;
+        // A line whose last byte was not written has not been heard.
+        match self.clock.within(wait_ms, pump::write_all(stream, head)).await {
+            Some(Ok(())) => {}
+            Some(Err(_)) | None => return Err(Outcome::ConnectFailed),
+        }
+        let down = &pipe.down;
+        let answer = self.clock.within(until - self.clock.now(), first_line(stream, down)).await;
+        let outcome = match answer.as_ref().map(|line| line.as_deref().map(line::reply)) {
+            None => Outcome::TimedOut,
+            Some(None) => Outcome::Reset,
+            Some(Some(Reply::Up)) => {
+                let line = answer.flatten().unwrap_or_default();
+                down.commit(line.len());
+                return if errand.established() { Ok(()) } else { Err(Outcome::Cancelled) };
+            }
+            Some(Some(Reply::Bye(_))) => {
+                down.commit(down.held());
+                return Err(Outcome::Ok);
+            }
+            Some(Some(Reply::Move)) => Outcome::Cancelled,
+            Some(Some(Reply::Busy(_))) => Outcome::Full,
+            Some(Some(_)) => Outcome::Error,
+        };
+        // Nothing of this answer is for the client: the next attempt's comes in its place.
+        down.discard(down.held());
+        Err(outcome)
+    }
+
+    /// Passes lines on until the connection ends.
+    async fn stand(&self, stream: &TcpStream, pipe: &Pipe, errand: &Errand) -> Outcome {
+        let last = Cell::new(None);
+        let arrived = || pass_lines(pipe, errand, &last);
+        // Lines may have come along with the first.
+        if !arrived() {
+            pipe.down.end(End::Reset);
+            return Outcome::Reset;
+        }
+        let reading = pump::fill(stream, &pipe.down, arrived);
+        let writing = pump::empty(&pipe.up, stream);
+        tokio::pin!(reading, writing);
+        let (end, client_left) = tokio::select! {
+            end = &mut reading => (end, false),
+            more = &mut writing => {
+                // The client has ended its sending; the form host may still send.
+                let end = if more { self.clock.within(LINGER_MS, &mut reading).await } else { None };
+                (end.unwrap_or(Some(End::Reset)), true)
+            }
+        };
+        match end {
+            Some(End::Closed) => {
+                pipe.down.end(End::Closed);
+                if !client_left {
+                    // The form host has ended its sending; the client may still send.
+                    self.clock.within(LINGER_MS, &mut writing).await;
+                }
+                last.get().unwrap_or(if client_left { Outcome::Cancelled } else { Outcome::Reset })
+            }
+            Some(_) if client_left => Outcome::Cancelled,
+            Some(_) => {
+                pipe.down.end(End::Reset);
+                Outcome::Reset
+            }
+            None => Outcome::Cancelled,
+        }
+    }
+
+    /// Asks a form host for its load.
+    async fn probe(&self, probe: Probe) {
+        let Probe { address, mut result, descriptor } = probe;
+        let question: &[u8] = if self.reports { b"STATS\r\n" } else { b"PING\r\n" };
+        let asking = async {
+            let stream = self.connect(address, PROBE_MS).await?;
+            pump::write_all(&stream, question).await.ok()?;
+            let line = first_line(&stream, &Ring::new()).await?;
+            match line::reply(&line) {
+                Reply::Pong(report) => Some(report),
+                _ => None,
+            }
+        };
+        if let Some(report) = self.clock.within(PROBE_MS, asking).await.flatten() {
+            result.answered(&report);
+        }
+        drop(descriptor);
+    }
+}
+
+/// Reads a first line, and leaves it held; `None` if the connection ends before, or it is too long.
+async fn first_line(stream: &TcpStream, ring: &Ring) -> Option<Vec<u8>> {
+    let whole = || ring.line().is_some() || ring.held() > LONGEST;
+    pump::fill(stream, ring, || !whole()).await;
+    ring.line().filter(|line| line.len() <= LONGEST)
+}
+
+/// Passes whole lines on to the client, so that it can be told to move between two of them at any
+/// time. False if a line is too long to be one.
+fn pass_lines(pipe: &Pipe, errand: &Errand, last: &Cell<Option<Outcome>>) -> bool {
+    while let Some(line) = pipe.down.line() {
+        last.set(None);
+        match line::reply(&line) {
+            Reply::Load(load) => errand.load(pipe, load),
+            Reply::Bye(_) => last.set(Some(Outcome::Ok)),
+            Reply::Move => last.set(Some(Outcome::Cancelled)),
+            _ => errand.answered(pipe),
+        }
+        pipe.down.commit(line.len());
+    }
+    pipe.down.held() <= LONGEST
+}
--- a/adapter/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,4 +1,7 @@
 //! The settings a balancer starts with, from their JSON text.
+//!
+//! The simulator's first message and a real balancer's configuration hold the same object, so it
+//! is read here, once for both.
 
 use linenreach::{
     Class, Discovery, Effect, KeyScope, Limits, NodeId, Prices, ReportField, Rules, Settings, Tenant, ZoneId,
@@ -13,7 +16,7 @@
     balancers: u16,
     zone: u8,
     #[serde(default)]
-    azs: Vec<serde::de::IgnoredAny>,
+    azs: Vec<String>,
     discovery: String,
     classes: Vec<BootClass>,
     #[serde(default)]
@@ -31,6 +34,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct BootClass {
+    #[serde(default)]
+    name: String,
     goal_time_ms: f64,
     semantics: String,
     #[serde(default)]
@@ -43,6 +48,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Account {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_per_s: f64,
 }
@@ -99,9 +106,46 @@
     mode: String,
 }
 
-/// Reads the settings of one instance.
-pub fn parse(text: &[u8]) -> Result<Settings, serde_json::Error> {
-    let boot: Boot = serde_json::from_slice(text)?;
+/// What the settings say.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Parsed {
+    /// What the decisions are made by.
+    pub decisions: Settings,
+    /// The names behind the numbers that the decisions use.
+    pub names: Names,
+}
+
+/// Names as peers on sockets write them, each list in the order of its ids.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    /// Of the request classes.
+    pub classes: Vec<String>,
+    /// Of the tenants; may be empty.
+    pub tenants: Vec<String>,
+    /// Of the zones.
+    pub zones: Vec<String>,
+    /// Of the values in a load report; empty where servers report nothing.
+    pub report_fields: Vec<String>,
+}
+
+/// Reads the settings of one instance from their text.
+///
+/// # Errors
+/// Fails if the text is no JSON, or if a figure that the decisions need is missing.
+pub fn parse(text: &[u8]) -> Result<Parsed, serde_json::Error> {
+    serde_json::from_slice(text).map(read)
+}
+
+/// Reads the settings of one instance from JSON that has been parsed before.
+///
+/// # Errors
+/// Fails if a figure that the decisions need is missing.
+pub fn from_value(value: serde_json::Value) -> Result<Parsed, serde_json::Error> {
+    serde_json::from_value(value).map(read)
+}
+
+fn read(boot: Boot) -> Parsed {
+    let reports = boot.load_report.how != "off";
     let aims = &boot.specifics.message_aim_ms;
     let classes = boot.classes.iter().enumerate().map(|(i, c)| Class {
         aim_ms: c.goal_time_ms,
@@ -116,7 +160,7 @@
         "fail_rate" => ReportField::ErrorRate,
         _ => ReportField::Other,
     });
-    Ok(Settings {
+    let decisions = Settings {
         node: NodeId(boot.index),
         nodes: boot.balancers,
         zone: ZoneId(boot.zone),
@@ -124,7 +168,7 @@
         discovery: if boot.discovery == "pushed" { Discovery::Push } else { Discovery::Ask },
         classes: classes.collect(),
         tenants: boot.accounts.iter().map(|a| Tenant { quota_per_s: a.quota_per_s }).collect(),
-        report_fields: if boot.load_report.how == "off" { Vec::new() } else { fields.collect() },
+        report_fields: if reports { fields.collect() } else { Vec::new() },
         limits: Limits {
             connect_timeout_ms: boot.bounds.connect_timeout_ms,
             max_attempts: boot.bounds.max_attempts,
@@ -149,7 +193,14 @@
         },
         groups: boot.specifics.groups,
         pass_through: boot.specifics.mode == "pass",
-    })
+    };
+    let names = Names {
+        classes: boot.classes.into_iter().map(|c| c.name).collect(),
+        tenants: boot.accounts.into_iter().map(|a| a.name).collect(),
+        zones: boot.azs,
+        report_fields: if reports { boot.load_report.fields } else { Vec::new() },
+    };
+    Parsed { decisions, names }
 }
 
 fn effect(class: &BootClass) -> Effect {
