--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -85,7 +85,13 @@
         let mut actions = Vec::new();
         loop {
             let Some(event) = self.queue.borrow_mut().pop_front() else { break };
+            if !matches!(event, Event::Timer(_)) {
+                tracing::debug!("{:.1} {event:?}", self.clock.now());
+            }
             self.balancer.borrow_mut().handle(self.clock.now(), event, &mut actions);
+            for action in actions.iter().filter(|a| !matches!(a, Action::SetTimer { .. })) {
+                tracing::debug!("{:.1} {action:?}", self.clock.now());
+            }
             for action in actions.drain(..) {
                 self.carry_out(action);
             }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -125,6 +125,7 @@
     async fn watch_list(&self) -> Result<(), String> {
         let path = format!("/catalog/members?watch=1&after={}", self.rev.get());
         let mut body = self.call(&path).await?;
+        tracing::debug!("discovery: watching");
         loop {
             while let Some(line) = syntax::take_line(&mut body.text) {
                 // An empty line says that nothing has changed.
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -509,6 +509,7 @@
     pub fn answered(&self, pipe: &Pipe) {
         let now = self.exchange.clock.now();
         if let Some(took) = pipe.waiting.borrow_mut().answered(now) {
+            tracing::debug!("{now:.1} {:?} {:?} took {took:.1}", self.server, self.id);
             self.exchange.delays.borrow_mut().sample(now, self.server, self.id, took);
         }
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -34,7 +34,8 @@
         }
     };
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
-    log.without_time().init();
+    let level = std::env::var("MARLLINK_LOG").ok().and_then(|level| level.parse().ok());
+    log.with_max_level(level.unwrap_or(tracing::Level::INFO)).without_time().init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ended = runtime.and_then(|runtime| {
         let ended = tokio::task::LocalSet::new().block_on(&runtime, run(config));
