--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -435,6 +435,7 @@
         let now = self.exchange.clock.now();
         while let Some(line) = pipe.up.line() {
             pipe.waiting.borrow_mut().sent(now);
+            tracing::debug!("{:?} client line {:?}", self.id, String::from_utf8_lossy(&line));
             pipe.up.commit(line.len());
         }
         // Half a line goes on as well; only the way down must be cut between lines.
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -194,6 +194,7 @@
 fn pass_lines(pipe: &Pipe, errand: &Errand, last: &Cell<Option<Outcome>>) -> bool {
     while let Some(line) = pipe.down.line() {
         last.set(None);
+        tracing::debug!("{errand:?} line {:?}", String::from_utf8_lossy(&line));
         match line::reply(&line) {
             Reply::Load(load) => errand.load(pipe, load),
             Reply::Bye(_) => last.set(Some(Outcome::Ok)),
