--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,6 +41,20 @@
 /// A server is hot when messages take this share of the strictest class's aim: it still serves
 /// well, but a queue has formed and little more would tip it.
 const HOT_SHARE: f64 = 0.5;
+/// Time in ms between two probes of a server, and of one that is nearly as loaded as it can be.
+/// Reports are made anew about once a second, so more probes would mostly tell the same.
+const PROBE_MS: Millis = 2_000.0;
+const PROBE_BUSY_MS: Millis = 800.0;
+/// A probe that has not come back after so many ms is given up.
+const PROBE_LOST_MS: Millis = 4_000.0;
+/// A server that reports this load over what it can do is busy: it takes nothing new for as long
+/// as the report may speak for, in ms.
+const BUSY_LOAD: f64 = 0.85;
+const BUSY_MS: Millis = 2_000.0;
+/// One that reports more than this is relieved, down to `BUSY_LOAD` ...
+const OVER_LOAD: f64 = 0.95;
+/// ... and then not for so many ms: until then reports may tell of the load before.
+const RELIEF_MS: Millis = 2_500.0;
 /// An overloaded server loses this share of the own connections with each note, a second apart ...
 const SHED_SHARE: f64 = 0.1;
 /// ... and more the longer messages take, up to half: what is piled up must drain as well. In ms,
@@ -118,6 +132,12 @@
     connections: Vec<RequestId>,
     /// It takes nothing new until then.
     hot_until: Millis,
+    /// By its own report it is busy until then, or overloaded.
+    busy_until: Millis,
+    over_until: Millis,
+    /// When it is to be probed next, and relieved again at the earliest.
+    probe_at: Millis,
+    relieve_at: Millis,
     /// Own connections it is held to, as of `limit_at`.
     limit: f64,
     limit_at: Millis,
@@ -286,7 +306,8 @@
             Event::Timer(TICK) => self.on_tick(out),
             Event::Timer(ASK) => out.push(Action::WatchList),
             Event::ClientGone(request) => self.on_client_gone(request, out),
-            Event::Timer(_) | Event::PeerMessage { .. } | Event::ProbeResult { .. } => {}
+            Event::ProbeResult { server, ok, report } => self.on_report(server, ok, &report, out),
+            Event::Timer(_) | Event::PeerMessage { .. } => {}
         }
     }
 
@@ -374,6 +395,10 @@
             open: 0,
             connections: Vec::new(),
             hot_until: f64::NEG_INFINITY,
+            busy_until: f64::NEG_INFINITY,
+            over_until: f64::NEG_INFINITY,
+            probe_at: self.now,
+            relieve_at: f64::NEG_INFINITY,
             limit: f64::INFINITY,
             limit_at: self.now,
             place: NOWHERE,
@@ -693,7 +718,65 @@
         let mean = self.ready_open / self.warm_weight.max(f64::MIN_POSITIVE) * s.weight;
         // A limit between whole numbers holds on the mean over nodes and tries.
         let room = limit.min(MEAN_BOUND * mean + 1.0) + some;
-        s.hot_until > self.now || f64::from(s.open) + 1.0 > room
+        s.hot_until.max(s.busy_until) > self.now || f64::from(s.open) + 1.0 > room
+    }
+
+    /// Asks servers for their load, where that is allowed: how long messages take is not told
+    /// everywhere, and where it is not, a server that has too much is known by its report alone.
+    fn probe_due(&mut self, out: &mut Vec<Action>) {
+        let tells = self.settings.report_fields.contains(&ReportField::Utilization);
+        if !self.settings.limits.probe || !tells {
+            return;
+        }
+        for slot in 0..self.servers.len() {
+            let s = &mut self.servers[slot];
+            if s.state == ServerState::Ready && s.probe_at <= self.now {
+                s.probe_at = self.now + PROBE_LOST_MS;
+                out.push(Action::Probe(s.id));
+            }
+        }
+    }
+
+    /// Takes a server's report of its load over what it can do. No report says nothing: what
+    /// becomes of attempts tells better whether the server works.
+    fn on_report(&mut self, id: ServerId, ok: bool, report: &[f32], out: &mut Vec<Action>) {
+        let Some(&slot) = self.index.get(&id) else { return };
+        let at = self.settings.report_fields.iter().position(|f| *f == ReportField::Utilization);
+        let load = at.filter(|_| ok).and_then(|at| report.get(at)).map_or(0.0, |x| f64::from(*x));
+        let spread = 0.75 + 0.5 * self.uniform();
+        let server = &mut self.servers[slot];
+        let next = if load >= BUSY_LOAD { PROBE_BUSY_MS } else { PROBE_MS };
+        server.probe_at = self.now + next * spread;
+        if load < BUSY_LOAD {
+            return;
+        }
+        server.busy_until = self.now + BUSY_MS;
+        if load < OVER_LOAD {
+            return;
+        }
+        server.over_until = self.now + BUSY_MS;
+        if server.relieve_at <= self.now {
+            server.relieve_at = self.now + RELIEF_MS;
+            self.relieve(slot, 1.0 - BUSY_LOAD / load, out);
+        }
+    }
+
+    /// Relief by load: moves own connections that make up this share of what they load the server
+    /// with. Each node does so, hence no node needs to know the others' part.
+    fn relieve(&mut self, slot: usize, share: f64, out: &mut Vec<Action>) {
+        let own = self.own_by_weight(slot);
+        let load = |id: &RequestId| self.requests.get(id).map_or(0.0, |p| p.load);
+        let mut excess = share * own.iter().map(load).sum::<f64>();
+        let mut chosen = Vec::new();
+        for id in own {
+            // One that weighs far more than what is too much would only overload another server.
+            let load = load(&id);
+            if load > 0.0 && load <= 1.5 * excess {
+                excess -= load;
+                chosen.push(id);
+            }
+        }
+        self.move_these(slot, chosen, out);
     }
 
     /// Relief: moves some of the own connections away from a server that cannot carry them,
@@ -703,14 +786,23 @@
         if count == 0 {
             return;
         }
+        let chosen = self.own_by_weight(slot).into_iter().take(count).collect();
+        self.move_these(slot, chosen, out);
+    }
+
+    /// The own connections of a server, the heaviest for its worth first, the newest of equals.
+    fn own_by_weight(&self, slot: usize) -> Vec<RequestId> {
         let mut own = Vec::with_capacity(self.servers[slot].connections.len());
-        for at in 0..self.servers[slot].connections.len() {
-            let id = self.servers[slot].connections[at];
-            let Some(pending) = self.requests.get(&id) else { continue };
-            own.push((pending.load / self.worth(pending.class), at, id));
+        for (at, id) in self.servers[slot].connections.iter().enumerate() {
+            let Some(pending) = self.requests.get(id) else { continue };
+            own.push((pending.load / self.worth(pending.class), at, *id));
         }
         own.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
-        for (_, _, id) in own.into_iter().take(count) {
+        own.into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    fn move_these(&mut self, slot: usize, chosen: Vec<RequestId>, out: &mut Vec<Action>) {
+        for id in chosen {
             out.push(Action::Move(id));
             // The request is over with that; its attempt still gets an end.
             self.drop_connection(slot, id);
@@ -738,6 +830,7 @@
                 i += 1;
             }
         }
+        self.probe_due(out);
         if self.now - self.reviewed_at >= 1_000.0 {
             self.weigh_warm();
             self.review_fleet();
@@ -759,7 +852,7 @@
     fn review_fleet(&mut self) {
         let seconds = (self.now - self.reviewed_at) / 1_000.0;
         self.reviewed_at = self.now;
-        let hot = self.servers.iter().filter(|s| s.hot_until > self.now);
+        let hot = self.servers.iter().filter(|s| s.hot_until.max(s.over_until) > self.now);
         let hot = hot.map(|s| s.connections.len()).sum::<usize>() as f64;
         let total = self.total as f64;
         self.peak = total.max(self.peak * (1.0 - seconds / 60.0).max(0.0));
