--- a/src/decide.rs
+++ b/src/decide.rs
@@ -852,7 +852,7 @@
     fn review_fleet(&mut self) {
         let seconds = (self.now - self.reviewed_at) / 1_000.0;
         self.reviewed_at = self.now;
-        let hot = self.servers.iter().filter(|s| s.hot_until.max(s.over_until) > self.now);
+        let hot = self.servers.iter().filter(|s| s.hot_until > self.now);
         let hot = hot.map(|s| s.connections.len()).sum::<usize>() as f64;
         let total = self.total as f64;
         self.peak = total.max(self.peak * (1.0 - seconds / 60.0).max(0.0));
