--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,7 +43,7 @@
 const HOT_SHARE: f64 = 0.5;
 /// Time in ms between two probes of a server, and of one that is nearly as loaded as it can be.
 /// Reports are made anew about once a second, so more probes would mostly tell the same.
-const PROBE_MS: Millis = 2_000.0;
+const PROBE_MS: Millis = 8_000.0;
 const PROBE_BUSY_MS: Millis = 800.0;
 /// A probe that has not come back after so many ms is given up.
 const PROBE_LOST_MS: Millis = 4_000.0;
@@ -745,15 +745,12 @@
         let load = at.filter(|_| ok).and_then(|at| report.get(at)).map_or(0.0, |x| f64::from(*x));
         let spread = 0.75 + 0.5 * self.uniform();
         let server = &mut self.servers[slot];
-        let next = if load >= BUSY_LOAD { PROBE_BUSY_MS } else { PROBE_MS };
+        let next = (PROBE_MS * (1.0 - load / BUSY_LOAD)).max(PROBE_BUSY_MS);
         server.probe_at = self.now + next * spread;
-        if load < BUSY_LOAD {
-            return;
-        }
-        server.busy_until = self.now + BUSY_MS;
         if load < OVER_LOAD {
             return;
         }
+        server.busy_until = self.now;
         server.over_until = self.now + BUSY_MS;
         if server.relieve_at <= self.now {
             server.relieve_at = self.now + RELIEF_MS;
@@ -852,7 +849,7 @@
     fn review_fleet(&mut self) {
         let seconds = (self.now - self.reviewed_at) / 1_000.0;
         self.reviewed_at = self.now;
-        let hot = self.servers.iter().filter(|s| s.hot_until > self.now);
+        let hot = self.servers.iter().filter(|s| s.hot_until.max(s.over_until) > self.now);
         let hot = hot.map(|s| s.connections.len()).sum::<usize>() as f64;
         let total = self.total as f64;
         self.peak = total.max(self.peak * (1.0 - seconds / 60.0).max(0.0));
