--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,10 +43,14 @@
 const HOT_SHARE: f64 = 0.5;
 /// Time in ms between two probes of a server, and of one that is nearly as loaded as it can be.
 /// Reports are made anew about once a second, so more probes would mostly tell the same.
-const PROBE_MS: Millis = 8_000.0;
+const PROBE_MS: Millis = 2_000.0;
 const PROBE_BUSY_MS: Millis = 800.0;
 /// A probe that has not come back after so many ms is given up.
 const PROBE_LOST_MS: Millis = 4_000.0;
+const PROBES_A_TICK: usize = 2;
+/// While notes on slow messages come, no server is probed: a note is sooner and more exact than a
+/// report. After the last one, and at the start, for so many ms.
+const NOTED_MS: Millis = 10_000.0;
 /// A server that reports this load over what it can do is busy: it takes nothing new for as long
 /// as the report may speak for, in ms.
 const BUSY_LOAD: f64 = 0.85;
@@ -229,6 +233,8 @@
     limit: f64,
     reviewed_at: Millis,
     total: usize,
+    /// When a note on slow messages last came.
+    noted_at: Millis,
     /// The most connections held, fading over a minute.
     peak: f64,
     /// When housekeeping is due; `INFINITY` before the first event.
@@ -270,6 +276,8 @@
             limit: f64::INFINITY,
             reviewed_at: now,
             total: 0,
+            // A note has this long to come before the first probe.
+            noted_at: now - NOTED_MS + TICK_MS * 5.0,
             peak: 0.0,
             tick_at: f64::INFINITY,
             asks_failed: 0,
@@ -686,6 +694,7 @@
     /// A server on which messages are slow has more than it can do, be it slow, pausing or just
     /// unlucky: new connections would only add to it, and if it lasts some must go.
     fn on_delay(&mut self, request: RequestId, delay_ms: Millis, out: &mut Vec<Action>) {
+        self.noted_at = self.now;
         let Some(pending) = self.requests.get(&request) else { return };
         if pending.phase != Phase::Open {
             return;
@@ -725,15 +734,14 @@
     /// everywhere, and where it is not, a server that has too much is known by its report alone.
     fn probe_due(&mut self, out: &mut Vec<Action>) {
         let tells = self.settings.report_fields.contains(&ReportField::Utilization);
-        if !self.settings.limits.probe || !tells {
+        if !self.settings.limits.probe || !tells || self.now - self.noted_at < NOTED_MS {
             return;
         }
-        for slot in 0..self.servers.len() {
-            let s = &mut self.servers[slot];
-            if s.state == ServerState::Ready && s.probe_at <= self.now {
-                s.probe_at = self.now + PROBE_LOST_MS;
-                out.push(Action::Probe(s.id));
-            }
+        // A few at a time: the first reports would else come all at once.
+        let due = self.servers.iter_mut().filter(|s| s.state == ServerState::Ready && s.probe_at <= self.now);
+        for server in due.take(PROBES_A_TICK) {
+            server.probe_at = self.now + PROBE_LOST_MS;
+            out.push(Action::Probe(server.id));
         }
     }
 
@@ -743,14 +751,16 @@
         let Some(&slot) = self.index.get(&id) else { return };
         let at = self.settings.report_fields.iter().position(|f| *f == ReportField::Utilization);
         let load = at.filter(|_| ok).and_then(|at| report.get(at)).map_or(0.0, |x| f64::from(*x));
-        let spread = 0.75 + 0.5 * self.uniform();
         let server = &mut self.servers[slot];
-        let next = (PROBE_MS * (1.0 - load / BUSY_LOAD)).max(PROBE_BUSY_MS);
-        server.probe_at = self.now + next * spread;
+        let next = if load >= BUSY_LOAD { PROBE_BUSY_MS } else { PROBE_MS };
+        server.probe_at = self.now + next;
+        if load < BUSY_LOAD {
+            return;
+        }
+        server.busy_until = self.now + BUSY_MS;
         if load < OVER_LOAD {
             return;
         }
-        server.busy_until = self.now;
         server.over_until = self.now + BUSY_MS;
         if server.relieve_at <= self.now {
             server.relieve_at = self.now + RELIEF_MS;
