--- /dev/null
+++ b/node/tests/process.rs
@@ -0,0 +1,268 @@
+//! The real balancer as a process, between clients, form hosts and discovery of the test's own.
+#![allow(missing_docs, reason = "tests are named for what they show")]
+
+mod support;
+
+use std::process::Command;
+use std::time::{Duration, Instant};
+use support::*;
+
+const SOCKETS: usize = 256;
+
+#[test]
+fn a_request_is_served_and_lines_go_on_unchanged_both_ways() {
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], SOCKETS);
+    let mut client = node.connect();
+    client.send("PING\r\n");
+    assert_eq!(client.line(), "PONG");
+    client.send("OPEN 1f 2f c=chat,d=2000,g=3f,x=0.50\r\n");
+    let mut server = host.accept();
+    let (line, wait) = without_wait(&server.line());
+    assert!(wait > 0 && wait < 2000, "{wait}");
+    let mut seen = vec![format!("host: {line}")];
+    server.send("UP 0xABC receipt\r\nLOAD 12.5\r\n");
+    seen.extend([format!("client: {}", client.line()), format!("client: {}", client.line())]);
+    client.send("one\r\ntwo\r\n");
+    seen.extend([format!("host: {}", server.line()), format!("host: {}", server.line())]);
+    server.send("three\r\nBYE\r\n");
+    drop(server);
+    seen.extend(client.rest().iter().map(|line| format!("client: {line}")));
+    insta::assert_snapshot!(seen.join("\n"), @r"
+    host: OPEN 1f 2f c=chat,d=_,g=3f,x=0.50
+    client: UP 0xABC receipt
+    client: LOAD 12.5
+    host: one
+    host: two
+    client: three
+    client: BYE
+    client: (end)
+    ");
+}
+
+#[test]
+fn an_attempt_is_closed_before_the_next_and_the_client_hears_only_the_last() {
+    let hosts = [Host::new("s-1"), Host::new("s-2"), Host::new("s-3")];
+    let node = Node::start(&[&hosts[0], &hosts[1], &hosts[2]], SOCKETS);
+    let mut client = node.open("d=3000");
+    for host in &hosts {
+        host.listener.set_nonblocking(true).expect("it listens");
+    }
+    let mut before: Option<Peer> = None;
+    for answer in ["ERR\r\n", "BUSY inflight=3\r\n", "UP 7\r\n"] {
+        let mut server = loop {
+            if let Some((stream, _)) = hosts.iter().find_map(|h| h.listener.accept().ok()) {
+                stream.set_nonblocking(false).expect("it stands");
+                break Peer::from(stream);
+            }
+            std::thread::yield_now();
+        };
+        assert!(before.is_none_or(|mut peer| peer.has_ended()), "two attempts are out");
+        assert!(server.line().starts_with("OPEN 1f 2f "));
+        server.send(answer);
+        before = Some(server);
+    }
+    assert_eq!(client.line(), "UP 7");
+}
+
+#[test]
+fn a_client_is_refused_at_once_when_nothing_can_be_tried_and_told_when_to_come_again() {
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], SOCKETS);
+    let asked = Instant::now();
+    let mut client = node.open("d=4000");
+    for _ in 0..3 {
+        let mut server = host.accept();
+        server.line();
+        server.send("BUSY\r\n");
+    }
+    let answer = client.rest();
+    assert!(asked.elapsed() < Duration::from_millis(2_500), "{:?}", asked.elapsed());
+    let wait = answer[0].strip_prefix("BUSY ").expect("it is told when to come again");
+    assert!((1..=2000).contains(&wait.parse::<u64>().expect("a number")), "{wait}");
+    assert_eq!(answer[1..], ["(end)"]);
+}
+
+#[test]
+fn a_silent_host_does_not_cost_the_client_its_answer() {
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], SOCKETS);
+    let asked = Instant::now();
+    let mut client = node.open("d=700");
+    let mut server = host.accept();
+    assert!(without_wait(&server.line()).1 < 700);
+    assert!(client.line().starts_with("BUSY"));
+    assert!(asked.elapsed() < Duration::from_millis(700), "{:?}", asked.elapsed());
+    assert!(server.line().starts_with('('), "the attempt is given up");
+}
+
+#[test]
+fn an_open_connection_goes_to_its_own_host_though_that_drains() {
+    let (host, other) = (Host::new("s-1"), Host::new("s-2"));
+    let node = Node::start(&[&other], SOCKETS);
+    // It is not known yet; the connection waits for the list.
+    let mut client = node.open("d=30000,at=s-1");
+    let (path, mut watch) = node.called();
+    assert_eq!(path, "GET /catalog/members?watch=1&after=41 HTTP/1.1");
+    begin_watch(&mut watch);
+    chunk(&mut watch, &(list(42, false, &[host.entry("DRAINING")]) + "\n"));
+    let mut server = host.accept();
+    server.line();
+    server.send("UP 9\r\n");
+    assert_eq!(client.line(), "UP 9");
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_host_and_a_watch_that_ends_is_renewed() {
+    let (leaving, staying) = (Host::new("s-1"), Host::new("s-2"));
+    let node = Node::start(&[&leaving, &staying], SOCKETS);
+    let (_, mut watch) = node.called();
+    begin_watch(&mut watch);
+    let change = list(45, false, &[leaving.entry("DRAINING")]);
+    // In pieces, as the network may bring it.
+    let (one, two) = change.split_at(30);
+    chunk(&mut watch, "\n");
+    chunk(&mut watch, one);
+    chunk(&mut watch, &format!("{two}\n"));
+    drop(watch);
+    let (path, mut again) = node.called();
+    assert_eq!(path, "GET /catalog/members?watch=1&after=45 HTTP/1.1");
+    again.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    let (path, _open) = node.called();
+    assert_eq!(path, "GET /catalog/members?watch=1&after=45 HTTP/1.1");
+    leaving.listener.set_nonblocking(true).expect("it listens");
+    for _ in 0..20 {
+        let mut client = node.open("d=2000");
+        let mut server = staying.accept();
+        server.line();
+        server.send("UP 1\r\n");
+        assert_eq!(client.line(), "UP 1");
+    }
+    assert!(leaving.listener.accept().is_err(), "it was sent something");
+}
+
+#[test]
+fn an_end_passes_on_in_kind() {
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], SOCKETS);
+    let stand = || {
+        let client = node.open("d=2000");
+        let mut server = host.accept();
+        server.line();
+        server.send("UP 1\r\n");
+        let mut client = client;
+        assert_eq!(client.line(), "UP 1");
+        (client, server)
+    };
+    let (mut client, mut server) = stand();
+    client.send("half");
+    client.end_sending();
+    assert_eq!([server.line(), server.line()], ["half", "(end)"]);
+    server.send("still here\r\nBYE\r\n");
+    drop(server);
+    assert_eq!(client.rest(), ["still here", "BYE", "(end)"]);
+
+    let (client, mut server) = stand();
+    client.reset();
+    assert_eq!(server.line(), "(reset)");
+
+    let (mut client, server) = stand();
+    server.reset();
+    assert_eq!(client.line(), "(reset)");
+}
+
+#[test]
+fn a_host_that_says_nothing_any_more_is_given_up_within_seven_seconds() {
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], SOCKETS);
+    let mut client = node.open("d=2000");
+    let mut server = host.accept();
+    server.line();
+    server.send("UP 1\r\n");
+    assert_eq!(client.line(), "UP 1");
+    let sent = Instant::now();
+    client.send("M 1\r\n");
+    assert!(client.line().starts_with('('));
+    // The last sign of life may be 2 s older than the line.
+    assert!(sent.elapsed() < Duration::from_secs(5), "{:?}", sent.elapsed());
+    assert!(sent.elapsed() > Duration::from_secs(4), "{:?}", sent.elapsed());
+}
+
+#[test]
+fn sigterm_moves_every_client_between_two_lines_and_serves_newcomers_first() {
+    let host = Host::new("s-1");
+    let mut node = Node::start(&[&host], SOCKETS);
+    let mut client = node.open("d=2000");
+    let mut server = host.accept();
+    server.line();
+    server.send("UP 1\r\none\r\nhalf a li");
+    assert_eq!([client.line(), client.line()], ["UP 1", "one"]);
+    node.terminate();
+    node.logged("SIGTERM");
+    let mut late = node.open("d=2000");
+    let mut late_server = host.accept();
+    late_server.line();
+    late_server.send("UP 2\r\n");
+    assert_eq!(late.line(), "UP 2");
+    assert_eq!(client.rest(), ["MOVE", "(end)"]);
+    assert_eq!(late.rest(), ["MOVE", "(end)"]);
+    assert!(server.line().starts_with('('));
+    drop((client, late));
+    assert!(node.ended().success());
+}
+
+#[test]
+fn malformed_overlong_and_silent_clients_cost_only_themselves() {
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], SOCKETS);
+    let _silent = node.connect();
+    for bad in ["GET / HTTP/1.1\r\n", "OPEN 1f\r\n", "\r\n", &"x".repeat(5_000)] {
+        let mut client = node.connect();
+        client.send(bad);
+        assert_eq!(client.rest(), ["ERR", "(end)"], "{:.20}", bad);
+    }
+    drop(node.connect());
+    let mut client = node.connect();
+    client.send("PING\r\nPING\r\n");
+    assert_eq!([client.line(), client.line()], ["PONG", "PONG"]);
+}
+
+#[test]
+fn out_of_descriptors_clients_are_refused_and_served_again_once_some_are_free() {
+    // 24 are kept for the program and 4 to refuse with, which leaves 12.
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], 40);
+    let mut held = Vec::new();
+    for _ in 0..6 {
+        let mut client = node.open("d=2000");
+        let mut server = host.accept();
+        server.line();
+        server.send("UP 1\r\n");
+        assert_eq!(client.line(), "UP 1");
+        held.push((client, server));
+    }
+    assert_eq!(node.open("d=2000").line(), "BUSY 2000");
+    let (client, server) = held.pop().expect("six are held");
+    drop((client, server));
+    let mut server = loop {
+        let mut client = node.open("d=2000");
+        // A refusal comes at once; a client that is served waits for its host.
+        host.listener.set_nonblocking(true).expect("it listens");
+        if client.peek(Duration::from_millis(200)).is_none() {
+            host.listener.set_nonblocking(false).expect("it listens");
+            break host.accept();
+        }
+    };
+    assert!(server.line().starts_with("OPEN"));
+}
+
+#[test]
+fn a_bad_configuration_ends_the_start_with_one_line() {
+    let output = Command::new(env!("CARGO_BIN_EXE_marllink")).env("NODE_CONFIG", "/nowhere").output();
+    let output = output.expect("the balancer starts");
+    assert!(!output.status.success());
+    insta::assert_snapshot!(
+        String::from_utf8_lossy(&output.stderr),
+        @"marllink: NODE_CONFIG: /nowhere: No such file or directory (os error 2)"
+    );
+}
--- /dev/null
+++ b/node/tests/support/mod.rs
@@ -0,0 +1,227 @@
+//! The real program as a process, with the test as its clients, form hosts and discovery.
+#![allow(missing_docs, reason = "tests are named for what they show")]
+
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+/// Nothing that a test waits for takes so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An address of this test's own: tests of one process and of several run side by side.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 32 + high % 64, low, NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+fn listen() -> TcpListener {
+    TcpListener::bind((own_address(), 0)).expect("a loopback address is free")
+}
+
+/// One end of a connection, spoken in lines.
+pub struct Peer {
+    reader: BufReader<TcpStream>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
+        stream.set_nodelay(true).expect("a socket option can be set");
+        Self { reader: BufReader::new(stream) }
+    }
+
+    /// What has come within `time`, if anything.
+    pub fn peek(&mut self, time: Duration) -> Option<u8> {
+        self.reader.get_ref().set_read_timeout(Some(time)).expect("a time-out can be set");
+        let first = self.reader.fill_buf().ok().and_then(|bytes| bytes.first().copied());
+        self.reader.get_ref().set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
+        first
+    }
+
+    /// True if the balancer has closed it by now.
+    pub fn has_ended(&mut self) -> bool {
+        self.reader.get_ref().set_nonblocking(true).expect("it stands");
+        !matches!(self.reader.fill_buf(), Ok([_, ..]) | Err(_))
+    }
+
+    pub fn accept(listener: &TcpListener) -> Self {
+        Self::new(listener.accept().expect("the balancer connects").0)
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.reader.get_mut().write_all(text.as_bytes()).expect("the balancer takes it");
+    }
+
+    /// The next line without its end; "(end)" at the end and "(reset)" after a reset.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        match self.reader.read_line(&mut line) {
+            Ok(0) => "(end)".into(),
+            Ok(_) => line.trim_end().into(),
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => "(reset)".into(),
+            Err(e) => panic!("nothing came: {e}"),
+        }
+    }
+
+    /// Lines up to the end.
+    pub fn rest(&mut self) -> Vec<String> {
+        let mut lines = vec![self.line()];
+        while !lines[lines.len() - 1].starts_with('(') {
+            lines.push(self.line());
+        }
+        lines
+    }
+
+    pub fn end_sending(&self) {
+        self.reader.get_ref().shutdown(Shutdown::Write).expect("it stands");
+    }
+
+    /// Breaks the connection as a process that dies with lines unread does.
+    pub fn reset(self) {
+        socket2::SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO)).expect("it stands");
+    }
+}
+
+impl From<TcpStream> for Peer {
+    fn from(stream: TcpStream) -> Self {
+        Self::new(stream)
+    }
+}
+
+/// A form host of the test's.
+pub struct Host {
+    pub uid: &'static str,
+    pub listener: TcpListener,
+}
+
+impl Host {
+    pub fn new(uid: &'static str) -> Self {
+        Self { uid, listener: listen() }
+    }
+
+    pub fn entry(&self, state: &str) -> String {
+        let (uid, endpoint) = (self.uid, self.listener.local_addr().expect("it listens"));
+        format!(
+            r#"{{"uid":"{uid}","endpoint":"{endpoint}","az":"a","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+        )
+    }
+
+    pub fn accept(&self) -> Peer {
+        Peer::accept(&self.listener)
+    }
+}
+
+/// A list of form hosts as discovery writes it.
+pub fn list(rev: u64, all: bool, entries: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, entries.join(","))
+}
+
+/// A running balancer.
+pub struct Node {
+    child: Child,
+    listen: SocketAddr,
+    log: BufReader<std::process::ChildStderr>,
+    pub discovery: TcpListener,
+    config: std::path::PathBuf,
+}
+
+impl Node {
+    /// Starts one that knows these hosts, all serving, with so many descriptors.
+    pub fn start(hosts: &[&Host], sockets: usize) -> Self {
+        let entries: Vec<_> = hosts.iter().map(|h| h.entry("SERVING")).collect();
+        let discovery = listen();
+        let listen = listen().local_addr().expect("it listens");
+        let config = format!(
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"1","known":{},
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+            "settings":{{"index":0,"balancers":1,"zone":0,"azs":["a"],"discovery":"on_request",
+                "classes":[{{"name":"chat","goalTimeMs":800.0,"semantics":"repeatable","importance":1.0}}],
+                "bounds":{{"connectTimeoutMs":200.0,"maxAttempts":3,"mayCancel":true,"retryAfter":true,"maxRetryAfterMs":2000.0}},
+                "invariants":{{"askWithinMs":10000.0,"coldFrom":0.3,"warmAfterMs":9000.0,"tipMultiple":3.0,"overloadForMs":3000.0}}}}}}"#,
+            discovery.local_addr().expect("it listens"),
+            list(41, true, &entries),
+        );
+        let path =
+            std::env::temp_dir().join(format!("marllink-{}.json", listen.to_string().replace(':', "-")));
+        std::fs::write(&path, config).expect("a file can be written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_marllink"))
+            .env("NODE_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the balancer starts");
+        let log = BufReader::new(child.stderr.take().expect("it is piped"));
+        let mut node = Self { child, listen, log, discovery, config: path };
+        node.logged("listening");
+        node
+    }
+
+    /// Waits until the log says this.
+    pub fn logged(&mut self, text: &str) {
+        let mut line = String::new();
+        while !line.contains(text) {
+            line.clear();
+            assert!(
+                self.log.read_line(&mut line).expect("the log is text") > 0,
+                "the log ended without \"{text}\""
+            );
+        }
+    }
+
+    pub fn connect(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.listen).expect("the balancer listens"))
+    }
+
+    /// A client that has asked for a connection.
+    pub fn open(&self, rest: &str) -> Peer {
+        let mut client = self.connect();
+        client.send(&format!("OPEN 1f 2f c=chat,{rest},g=3f\r\n"));
+        client
+    }
+
+    /// Takes the next call to discovery: its first line, and the connection.
+    pub fn called(&self) -> (String, Peer) {
+        let mut call = Peer::accept(&self.discovery);
+        let path = call.line();
+        while !call.line().is_empty() {}
+        (path, call)
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status().expect("there is a kill command");
+        assert!(status.success());
+    }
+
+    /// Waits for the end of the program.
+    pub fn ended(&mut self) -> ExitStatus {
+        // The log ends with the program.
+        self.log.read_to_end(&mut Vec::new()).expect("the log can be read");
+        self.child.wait().expect("it was started")
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = (self.child.kill(), self.child.wait(), std::fs::remove_file(&self.config));
+    }
+}
+
+/// Sends a piece of a chunked answer.
+pub fn chunk(to: &mut Peer, text: &str) {
+    to.send(&format!("{:x}\r\n{text}\r\n", text.len()));
+}
+
+/// Begins to answer a watch.
+pub fn begin_watch(to: &mut Peer) {
+    to.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+}
+
+/// A line with what the balancer still waits replaced, and that time.
+pub fn without_wait(line: &str) -> (String, u64) {
+    let (before, rest) = line.split_once("d=").expect("the line tells a time");
+    let (wait, after) = rest.split_once(',').unwrap_or((rest, ""));
+    (format!("{before}d=_,{after}"), wait.parse().expect("the time is a number"))
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -93,6 +93,9 @@
 const ASK_AGAIN_MS: Millis = 500.0;
 /// So many ms for each node to spread first calls over: one list service answers them all.
 const ASK_SPREAD_MS: Millis = 20.0;
+/// A refused client is told to stay away for so many ms, give or take half, so that those refused
+/// together do not come again together: servers that are full, hot or out need about that long.
+const RETRY_AFTER_MS: Millis = 700.0;
 /// An attempt with less than this left, in ms, cannot succeed any more.
 const LEAST_LEFT_MS: Millis = 5.0;
 
@@ -1052,12 +1055,20 @@
             Effect::Keyed { .. } | Effect::Unsafe => pending.ran.is_none(),
         };
         out.push(if harmless {
-            Action::Refuse { request: id, retry_after_ms: 0.0 }
+            Action::Refuse { request: id, retry_after_ms: self.retry_after() }
         } else {
             Action::Fail(id)
         });
     }
 
+    /// When a refused client should come again; 0 where clients are not told.
+    fn retry_after(&mut self) -> Millis {
+        if !self.settings.limits.retry_after {
+            return 0.0;
+        }
+        (RETRY_AFTER_MS * (0.5 + self.uniform())).min(self.settings.limits.max_retry_after_ms)
+    }
+
     fn retry_held(&mut self, out: &mut Vec<Action>) {
         for id in std::mem::take(&mut self.held) {
             // A held request may have been withdrawn meanwhile.
