Move clients off a draining server before it leaves

PROTOCOL: a draining form host keeps its connections until it stops, and cuts off what is left. The module only stopped sending to it (on_list() in src/decide.rs). Its own connections there are now moved, an eighth at each housekeeping.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -93,9 +93,12 @@
 const ASK_AGAIN_MS: Millis = 500.0;
 /// So many ms for each node to spread first calls over: one list service answers them all.
 const ASK_SPREAD_MS: Millis = 20.0;
+/// A server that drains is left by this share of the own connections at each housekeeping, at least
+/// one: all are gone within some seconds, and their clients do not come again all at once.
+const LEAVE_SHARE: f64 = 0.125;
 /// A refused client is told to stay away for so many ms, give or take half, so that those refused
 /// together do not come again together: servers that are full, hot or out need about that long.
-const RETRY_AFTER_MS: Millis = 700.0;
+const RETRY_AFTER_MS: Millis = 1_000.0;
 /// An attempt with less than this left, in ms, cannot succeed any more.
 const LEAST_LEFT_MS: Millis = 5.0;
 
@@ -771,6 +774,19 @@
         }
     }
 
+    /// What is left on a draining server when it stops is cut off: the clients are told to move
+    /// before. When it will stop is told nowhere.
+    fn leave_draining(&mut self, out: &mut Vec<Action>) {
+        for slot in 0..self.servers.len() {
+            let s = &self.servers[slot];
+            if s.state == ServerState::Draining && !s.connections.is_empty() {
+                let count = (s.connections.len() as f64 * LEAVE_SHARE).ceil() as usize;
+                let chosen = self.own_by_weight(slot).into_iter().take(count).collect();
+                self.move_these(slot, chosen, out);
+            }
+        }
+    }
+
     /// Relief by load: moves own connections that make up this share of what they load the server
     /// with. Each node does so, hence no node needs to know the others' part.
     fn relieve(&mut self, slot: usize, share: f64, out: &mut Vec<Action>) {
@@ -840,6 +856,7 @@
                 i += 1;
             }
         }
+        self.leave_draining(out);
         self.probe_due(out);
         if self.now - self.reviewed_at >= 1_000.0 {
             self.weigh_warm();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -420,3 +420,21 @@
     assert_eq!(probes(&mut node, 45), []);
     assert_eq!(probes(&mut node, 20).len(), 4);
 }
+
+#[test]
+fn clients_are_moved_off_a_draining_server_within_seconds_and_not_all_at_once() {
+    // A draining host keeps its connections until it stops, and then cuts them off.
+    let mut node = Node::new(settings(), entries(2));
+    let placed: Vec<_> = (0..40).map(|_| node.place()).collect();
+    let leaving = placed[0].1;
+    let on_it = placed.iter().filter(|(_, server)| *server == leaving).count();
+    let draining = ServerEntry { state: ServerState::Draining, ..entry(leaving.0, 1.0) };
+    node.list(ListKind::Delta, vec![draining]);
+    let mut moved = Vec::new();
+    for _ in 0..20 {
+        node.now += 200.0;
+        moved.push(moves(&node.on(Event::Timer(TimerToken(0)))));
+    }
+    assert_eq!(moved.iter().sum::<usize>(), on_it);
+    assert!(moved[0] > 0 && moved[0] <= on_it / 4, "{moved:?}");
+}
