Correct reports by the own connections' load since, and use them beside notes

A report is 0.6 to 1.6 s old; what the own connections load the host with is known at once from LOAD lines.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,17 +48,18 @@
 /// A probe that has not come back after so many ms is given up.
 const PROBE_LOST_MS: Millis = 4_000.0;
 const PROBES_A_TICK: usize = 2;
-/// While notes on slow messages come, no server is probed: a note is sooner and more exact than a
-/// report. After the last one, and at the start, for so many ms.
-const NOTED_MS: Millis = 10_000.0;
-/// A server that reports this load over what it can do is busy: it takes nothing new for as long
-/// as the report may speak for, in ms.
-const BUSY_LOAD: f64 = 0.8;
-const BUSY_MS: Millis = 2_000.0;
-/// One that reports more than this is relieved, down to `BUSY_LOAD` ...
-const OVER_LOAD: f64 = 0.9;
-/// ... and then not for so many ms: until then reports may tell of the load before.
+/// A server with this load over what it can do is busy and takes nothing new ...
+const BUSY_LOAD: f64 = 0.7;
+/// ... and one with more than this is relieved, down to `BUSY_LOAD` ...
+const OVER_LOAD: f64 = 0.8;
+/// ... and then not for so many ms: reports do not tell yet what other nodes have moved.
 const RELIEF_MS: Millis = 2_500.0;
+/// A report speaks for so many ms, corrected by what has become of the own connections ...
+const REPORT_MS: Millis = 5_000.0;
+/// ... since it was made: so many housekeepings ago, as reports are made now and then and late.
+const REPORT_AGE: usize = 4;
+/// Part of what was learnt of the servers' capacity that is kept with each report.
+const LEARN_KEEP: f64 = 0.97;
 /// An overloaded server loses this share of the own connections with each note, a second apart ...
 const SHED_SHARE: f64 = 0.1;
 /// ... and more the longer messages take, up to half: what is piled up must drain as well. In ms,
@@ -142,9 +143,13 @@
     connections: Vec<RequestId>,
     /// It takes nothing new until then.
     hot_until: Millis,
-    /// By its own report it is busy until then, or overloaded.
-    busy_until: Millis,
-    over_until: Millis,
+    /// What the own connections load it with now, and at the last housekeepings, newest first.
+    load: f64,
+    loads: [f64; REPORT_AGE],
+    /// Its last report of its load over what it can do, when that came, and the own load in it.
+    reported: f64,
+    reported_at: Millis,
+    reported_own: f64,
     /// When it is to be probed next, and relieved again at the earliest.
     probe_at: Millis,
     relieve_at: Millis,
@@ -239,8 +244,9 @@
     limit: f64,
     reviewed_at: Millis,
     total: usize,
-    /// When a note on slow messages last came.
-    noted_at: Millis,
+    /// What servers were loaded with by reports, and the weights that this is the capacity of.
+    learnt_load: f64,
+    learnt_share: f64,
     /// The most connections held, fading over a minute.
     peak: f64,
     /// When housekeeping is due; `INFINITY` before the first event.
@@ -282,8 +288,8 @@
             limit: f64::INFINITY,
             reviewed_at: now,
             total: 0,
-            // A note has this long to come before the first probe.
-            noted_at: now - NOTED_MS + TICK_MS * 5.0,
+            learnt_load: 0.0,
+            learnt_share: 0.0,
             peak: 0.0,
             tick_at: f64::INFINITY,
             asks_failed: 0,
@@ -310,7 +316,10 @@
             Event::Established { request, attempt, .. } => self.on_established(request, attempt),
             Event::ConnectionLoad { request, load } => {
                 if let Some(pending) = self.requests.get_mut(&request) {
-                    pending.load = load;
+                    let before = std::mem::replace(&mut pending.load, load);
+                    if pending.phase == Phase::Open {
+                        self.servers[pending.slot].load += load - before;
+                    }
                 }
             }
             Event::AttemptEnded { request, attempt, outcome, closed } => {
@@ -320,7 +329,7 @@
             Event::Timer(TICK) => self.on_tick(out),
             Event::Timer(ASK) => out.push(Action::WatchList),
             Event::ClientGone(request) => self.on_client_gone(request, out),
-            Event::ProbeResult { server, ok, report } => self.on_report(server, ok, &report, out),
+            Event::ProbeResult { server, ok, report } => self.on_report(server, ok, &report),
             Event::Timer(_) | Event::PeerMessage { .. } => {}
         }
     }
@@ -409,8 +418,11 @@
             open: 0,
             connections: Vec::new(),
             hot_until: f64::NEG_INFINITY,
-            busy_until: f64::NEG_INFINITY,
-            over_until: f64::NEG_INFINITY,
+            load: 0.0,
+            loads: [0.0; REPORT_AGE],
+            reported: 0.0,
+            reported_at: f64::NEG_INFINITY,
+            reported_own: 0.0,
             probe_at: self.now,
             relieve_at: f64::NEG_INFINITY,
             limit: f64::INFINITY,
@@ -700,7 +712,6 @@
     /// A server on which messages are slow has more than it can do, be it slow, pausing or just
     /// unlucky: new connections would only add to it, and if it lasts some must go.
     fn on_delay(&mut self, request: RequestId, delay_ms: Millis, out: &mut Vec<Action>) {
-        self.noted_at = self.now;
         let Some(pending) = self.requests.get(&request) else { return };
         if pending.phase != Phase::Open {
             return;
@@ -733,14 +744,14 @@
         let mean = self.ready_open / self.warm_weight.max(f64::MIN_POSITIVE) * s.weight;
         // A limit between whole numbers holds on the mean over nodes and tries.
         let room = limit.min(MEAN_BOUND * mean + 1.0) + some;
-        s.hot_until.max(s.busy_until) > self.now || f64::from(s.open) + 1.0 > room
+        s.hot_until > self.now || self.load_now(slot) >= BUSY_LOAD || f64::from(s.open) + 1.0 > room
     }
 
     /// Asks servers for their load, where that is allowed: how long messages take is not told
     /// everywhere, and where it is not, a server that has too much is known by its report alone.
     fn probe_due(&mut self, out: &mut Vec<Action>) {
         let tells = self.settings.report_fields.contains(&ReportField::Utilization);
-        if !self.settings.limits.probe || !tells || self.now - self.noted_at < NOTED_MS {
+        if !self.settings.limits.probe || !tells {
             return;
         }
         // A few at a time: the first reports would else come all at once.
@@ -753,24 +764,53 @@
 
     /// Takes a server's report of its load over what it can do. No report says nothing: what
     /// becomes of attempts tells better whether the server works.
-    fn on_report(&mut self, id: ServerId, ok: bool, report: &[f32], out: &mut Vec<Action>) {
+    fn on_report(&mut self, id: ServerId, ok: bool, report: &[f32]) {
         let Some(&slot) = self.index.get(&id) else { return };
         let at = self.settings.report_fields.iter().position(|f| *f == ReportField::Utilization);
         let load = at.filter(|_| ok).and_then(|at| report.get(at)).map_or(0.0, |x| f64::from(*x));
         let server = &mut self.servers[slot];
         let next = if load >= BUSY_LOAD { PROBE_BUSY_MS } else { PROBE_MS };
         server.probe_at = self.now + next;
-        if load < BUSY_LOAD {
+        if !ok || at.is_none() {
             return;
         }
-        server.busy_until = self.now + BUSY_MS;
-        if load < OVER_LOAD {
-            return;
+        server.reported = load;
+        server.reported_at = self.now;
+        server.reported_own = server.loads[REPORT_AGE - 1];
+        // Own connections are taken to weigh as much as others' there.
+        let held = self.settings.report_fields.iter().position(|f| *f == ReportField::InFlight);
+        let held = held.and_then(|at| report.get(at)).map_or(0.0, |x| f64::from(*x));
+        let own = server.connections.len() as f64;
+        if own > 0.0 && held >= own {
+            self.learnt_load = self.learnt_load * LEARN_KEEP + server.reported_own * held / own;
+            self.learnt_share = self.learnt_share * LEARN_KEEP + load * server.weight;
         }
-        server.over_until = self.now + BUSY_MS;
-        if server.relieve_at <= self.now {
-            server.relieve_at = self.now + RELIEF_MS;
-            self.relieve(slot, 1.0 - BUSY_LOAD / load, out);
+    }
+
+    /// A server's load over what it can do as of now: as last reported, and what the own connections
+    /// have added or taken away since. A report alone is a second old or more, in which a burst can
+    /// fill a server that looks idle.
+    fn load_now(&self, slot: usize) -> f64 {
+        let s = &self.servers[slot];
+        if self.now - s.reported_at > REPORT_MS {
+            return 0.0;
+        }
+        let capacity = self.learnt_load / self.learnt_share.max(f64::MIN_POSITIVE) * s.weight;
+        let since = if capacity > 0.0 { (s.load - s.reported_own) / capacity } else { 0.0 };
+        s.reported + since
+    }
+
+    /// Relieves servers that have more than they can do.
+    fn relieve_over(&mut self, out: &mut Vec<Action>) {
+        for slot in 0..self.servers.len() {
+            let load = self.load_now(slot);
+            let server = &mut self.servers[slot];
+            server.loads.rotate_right(1);
+            server.loads[0] = server.load;
+            if load >= OVER_LOAD && server.relieve_at <= self.now {
+                server.relieve_at = self.now + RELIEF_MS;
+                self.relieve(slot, 1.0 - BUSY_LOAD / load, out);
+            }
         }
     }
 
@@ -857,6 +897,7 @@
             }
         }
         self.leave_draining(out);
+        self.relieve_over(out);
         self.probe_due(out);
         if self.now - self.reviewed_at >= 1_000.0 {
             self.weigh_warm();
@@ -871,6 +912,8 @@
             // In order of age: of connections that seem alike the newest is moved first.
             connections.remove(at);
             self.total -= 1;
+            let load = self.requests.get(&id).map_or(0.0, |p| p.load);
+            self.servers[slot].load -= load;
         }
     }
 
@@ -879,8 +922,10 @@
     fn review_fleet(&mut self) {
         let seconds = (self.now - self.reviewed_at) / 1_000.0;
         self.reviewed_at = self.now;
-        let hot = self.servers.iter().filter(|s| s.hot_until.max(s.over_until) > self.now);
-        let hot = hot.map(|s| s.connections.len()).sum::<usize>() as f64;
+        let hot =
+            |slot: &usize| self.servers[*slot].hot_until > self.now || self.load_now(*slot) >= OVER_LOAD;
+        let hot = (0..self.servers.len()).filter(hot).map(|slot| self.servers[slot].connections.len());
+        let hot = hot.sum::<usize>() as f64;
         let total = self.total as f64;
         self.peak = total.max(self.peak * (1.0 - seconds / 60.0).max(0.0));
         if hot > total * FLEET_HOT {
@@ -1104,6 +1149,7 @@
         pending.phase = Phase::Open;
         let server = &mut self.servers[pending.slot];
         server.connections.push(id);
+        server.load += pending.load;
         self.total += 1;
         self.stood += 1.0;
         self.rate *= (-(self.now - self.rate_at) / RATE_TAU_MS).exp();
@@ -1119,13 +1165,13 @@
         closed: bool,
         out: &mut Vec<Action>,
     ) {
-        let Some(mut pending) = self.requests.remove(&id) else { return };
+        let Some(pending) = self.requests.get(&id) else { return };
         if pending.phase == Phase::Held || pending.attempts != attempt.0.wrapping_add(1) {
-            self.requests.insert(id, pending);
             return;
         }
         let slot = pending.slot;
         self.drop_connection(slot, id);
+        let Some(mut pending) = self.requests.remove(&id) else { return };
         self.add_open(slot, -1);
         match outcome {
             Outcome::Ok | Outcome::Cancelled | Outcome::NotSent => {}
