Give the core's turn back also when an event ends in a panic

Seen by reading: feed() in node/src/core.rs left 'busy' set when a panic unwound through it; every later event would have joined a queue that nobody empties, while the process looked alive. A drop guard gives the turn back; a test panics in an action and sees the next event handled.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -82,6 +82,7 @@
         if self.busy.replace(true) {
             return;
         }
+        let _turn = Turn(&self.busy);
         let mut actions = Vec::new();
         loop {
             let Some(event) = self.queue.borrow_mut().pop_front() else { break };
@@ -96,7 +97,6 @@
                 self.carry_out(action);
             }
         }
-        self.busy.set(false);
     }
 
     fn carry_out(&self, action: Action) {
@@ -125,3 +125,121 @@
         }
     }
 }
+
+/// Gives the turn to handle events back, also when a panic ends it: one event that fails must cost
+/// its own request, and not leave all later ones in the queue for ever.
+struct Turn<'a>(&'a Cell<bool>);
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use marllink::{CellId, Class, ListKind, NewRequest, ServerEntry, ServerState, ZoneId};
+
+    /// Writes down what it is asked, and answers a send at once with an end, as a node without a
+    /// free descriptor does.
+    #[derive(Default)]
+    struct Recorder {
+        core: RefCell<Weak<Core>>,
+        asked: RefCell<Vec<String>>,
+        attempts: Cell<u8>,
+        panics: Cell<bool>,
+    }
+
+    impl Recorder {
+        fn note(&self, text: String) {
+            self.asked.borrow_mut().push(text);
+        }
+    }
+
+    impl Requests for Recorder {
+        fn send(&self, request: RequestId, _: ServerId, _: Millis) {
+            assert!(!self.panics.take(), "this one fails");
+            let attempt = AttemptNo(self.attempts.replace(self.attempts.get() + 1));
+            self.note(format!("send {} begins", request.0));
+            let core = self.core.borrow().upgrade().expect("it is in use");
+            core.feed(Event::AttemptEnded {
+                request,
+                attempt,
+                outcome: marllink::Outcome::NotSent,
+                closed: false,
+            });
+            self.note(format!("send {} ends", request.0));
+        }
+        fn cancel(&self, request: RequestId, _: AttemptNo) {
+            self.note(format!("cancel {}", request.0));
+        }
+        fn refuse(&self, request: RequestId, _: Millis) {
+            self.note(format!("refuse {}", request.0));
+        }
+        fn fail(&self, request: RequestId) {
+            self.note(format!("fail {}", request.0));
+        }
+        fn move_client(&self, request: RequestId) {
+            self.note(format!("move {}", request.0));
+        }
+        fn probe(&self, _: ServerId) {}
+    }
+
+    impl Membership for Recorder {
+        fn fetch(&self) {}
+        fn watch(&self) {}
+    }
+
+    /// A core with one server, between recorders.
+    fn core() -> (Rc<Core>, Rc<Recorder>) {
+        let mut settings = Settings { nodes: 1, classes: vec![Class::default()], ..Settings::default() };
+        settings.limits.max_attempts = 2;
+        let core = Core::new(Clock::settable(), settings, 1);
+        let recorder = Rc::new(Recorder::default());
+        *recorder.core.borrow_mut() = Rc::downgrade(&core);
+        let requests: Weak<dyn Requests> = Rc::downgrade(&recorder) as _;
+        core.connect(requests, recorder.clone());
+        let entry = ServerEntry {
+            server: ServerId(1),
+            zone: ZoneId(0),
+            cell: CellId(0),
+            state: ServerState::Ready,
+            weight: 1.0,
+            started_at: 0.0,
+        };
+        core.feed(Event::ServerList { kind: ListKind::Full, entries: vec![entry] });
+        (core, recorder)
+    }
+
+    fn request(core: &Core) -> Event {
+        let request = core.number_request();
+        Event::Request(NewRequest { request, time_left_ms: 2_000.0, ..NewRequest::default() })
+    }
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn what_an_action_brings_about_comes_after_it() {
+        tokio::task::LocalSet::new()
+            .run_until(async {
+                let (core, recorder) = core();
+                core.feed(request(&core));
+                let asked = recorder.asked.borrow().join(", ");
+                assert_eq!(asked, "send 1 begins, send 1 ends, send 1 begins, send 1 ends, refuse 1");
+            })
+            .await;
+    }
+
+    #[tokio::test(flavor = "current_thread")]
+    async fn an_event_that_fails_does_not_hold_up_the_next() {
+        tokio::task::LocalSet::new()
+            .run_until(async {
+                let (core, recorder) = core();
+                recorder.panics.set(true);
+                let failing = std::panic::AssertUnwindSafe(|| core.feed(request(&core)));
+                assert!(std::panic::catch_unwind(failing).is_err());
+                core.feed(request(&core));
+                assert_eq!(recorder.asked.borrow().first().map(String::as_str), Some("send 2 begins"));
+            })
+            .await;
+    }
+}
