--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -23,7 +23,8 @@
 
 /// A client's answer is sent so long before it gives up: the way back takes time as well.
 const ANSWER_MARGIN_MS: Millis = 10.0;
-/// How long a connection without a time of its own may take to come up.
+/// How long a connection may take to come up that was open before, or tells no time of its own.
+/// Such clients say that they wait for over an hour, which would hold a lost one for as long.
 const NO_DEADLINE_MS: Millis = 40_000.0;
 /// A form host that has owed an answer for so long and sent nothing is lost: the connection must
 /// end within 7 s of its last sign of life, and clients send a line every 2 s.
@@ -165,7 +166,8 @@
     /// `pipe`. A connection that was open before goes to its form host, once that is known.
     pub async fn open(&self, opening: Opening, pipe: Rc<Pipe>) -> Option<Ticket> {
         let at = opening.at.as_deref().map(|uid| ServerId(line::number_of(uid)));
-        let wait_ms = opening.wait_ms.unwrap_or(NO_DEADLINE_MS) - ANSWER_MARGIN_MS;
+        let most = if at.is_some() { NO_DEADLINE_MS } else { f64::INFINITY };
+        let wait_ms = opening.wait_ms.unwrap_or(NO_DEADLINE_MS).min(most) - ANSWER_MARGIN_MS;
         let taken_at = self.clock.now();
         if let Some(server) = at {
             self.clock.within(wait_ms, self.directory.known(server)).await?;
