Tell the decisions of a silent host as a connection that broke

Seen by reading end_silent() in node/src/exchange.rs: it called the attempt off like any other, so AttemptEnded said Cancelled, and a vanished host was never counted as failing; the process test logs 'outcome: Reset' now, and logged 'Cancelled' before. Also, a half-closed connection had 5 s for the other direction, which would cut off a client that still reads; it is 30 s now (LINGER_MS).

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -15,7 +15,7 @@
 /// A connection must send its first line within this time: clients send it at once.
 const FIRST_LINE_MS: Millis = 5_000.0;
 /// When one direction has ended, the other has so long to end as well.
-const LINGER_MS: Millis = 5_000.0;
+const LINGER_MS: Millis = 30_000.0;
 /// A client that has had its last line has so long to close.
 const CLOSE_MS: Millis = 500.0;
 /// After a failed accept, and while no descriptor is free, so long passes before the next.
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -119,7 +119,22 @@
 struct Out {
     attempt: AttemptNo,
     server: ServerId,
-    called_off: Rc<Notify>,
+    call_off: Rc<CallOff>,
+}
+
+/// By which an attempt that is out is ended from this side.
+#[derive(Default)]
+struct CallOff {
+    outcome: Cell<Option<Outcome>>,
+    called: Notify,
+}
+
+impl CallOff {
+    /// Has the attempt end like this; the first call holds.
+    fn call(&self, outcome: Outcome) {
+        self.outcome.set(self.outcome.get().or(Some(outcome)));
+        self.called.notify_one();
+    }
 }
 
 /// Pairs clients with attempts.
@@ -223,6 +238,7 @@
     }
 
     /// A machine that has vanished says nothing: its connections would stay open for ever.
+    /// For the decisions it is a connection that broke: the host must not look sound to them.
     fn end_silent(&self, now: Millis) {
         let silent = |e: &Entry| {
             matches!(e.phase, Phase::Standing) && e.pipe.waiting.borrow().silent_for(now) > SILENT_MS
@@ -230,7 +246,7 @@
         for entry in self.entries.borrow().values().filter(|e| silent(e)) {
             entry.pipe.down.end(End::Reset);
             if let Some(out) = &entry.out {
-                out.called_off.notify_one();
+                out.call_off.call(Outcome::Reset);
             }
         }
     }
@@ -339,7 +355,7 @@
     entry.pipe.down.end(end);
     entry.pipe.up.end(if reset { End::Reset } else { End::Closed });
     if let Some(out) = &entry.out {
-        out.called_off.notify_one();
+        out.call_off.call(Outcome::Cancelled);
     }
 }
 
@@ -349,7 +365,7 @@
         let Some(entry) = entries.get_mut(&id) else { return };
         if let Some(out) = &entry.out {
             // One attempt out at a time: this one goes out once the other's socket is closed.
-            out.called_off.notify_one();
+            out.call_off.call(Outcome::Cancelled);
             entry.next = Some((server, timeout_ms));
             return;
         }
@@ -365,14 +381,14 @@
             self.core.feed(Event::AttemptEnded { request: id, attempt, outcome, closed });
             return;
         };
-        let called_off = Rc::new(Notify::new());
-        entry.out = Some(Out { attempt, server, called_off: called_off.clone() });
+        let call_off = Rc::new(CallOff::default());
+        entry.out = Some(Out { attempt, server, call_off: call_off.clone() });
         let errand = Errand {
             exchange: self.me.upgrade().expect("it is in use"),
             id,
             attempt,
             server,
-            called_off,
+            call_off,
             sent_at: self.clock.now(),
             outcome: Outcome::Cancelled,
         };
@@ -390,7 +406,7 @@
         if let Some(out) = entry.out.as_ref().filter(|o| o.attempt == attempt)
             && !matches!(entry.phase, Phase::Standing)
         {
-            out.called_off.notify_one();
+            out.call_off.call(Outcome::Cancelled);
         }
     }
 
@@ -467,7 +483,7 @@
     id: RequestId,
     attempt: AttemptNo,
     server: ServerId,
-    called_off: Rc<Notify>,
+    call_off: Rc<CallOff>,
     sent_at: Millis,
     outcome: Outcome,
 }
@@ -479,10 +495,14 @@
 }
 
 impl Errand {
-    /// Waits until the attempt is called off.
-    pub fn called_off(&self) -> impl Future<Output = ()> + use<> {
-        let called_off = self.called_off.clone();
-        async move { called_off.notified().await }
+    /// Waits until the attempt is ended from the exchange's side, and tells how it has ended.
+    pub async fn called_off(&self) -> Outcome {
+        loop {
+            self.call_off.called.notified().await;
+            if let Some(outcome) = self.call_off.outcome.get() {
+                return outcome;
+            }
+        }
     }
 
     /// The form host has taken the connection. False if the client needs it no more.
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 
 /// When one direction has ended, the other has so long to end as well.
-const LINGER_MS: Millis = 5_000.0;
+const LINGER_MS: Millis = 30_000.0;
 /// A probe that has no answer by then has failed.
 const PROBE_MS: Millis = 1_000.0;
 
@@ -48,7 +48,7 @@
         let connecting = self.connect(address, wait_ms);
         let stream = tokio::select! {
             biased;
-            () = errand.called_off() => Err(Outcome::Cancelled),
+            outcome = errand.called_off() => Err(outcome),
             stream = connecting => stream.ok_or(Outcome::ConnectFailed),
         };
         let outcome = match stream {
@@ -63,7 +63,7 @@
                 };
                 let outcome = tokio::select! {
                     biased;
-                    () = errand.called_off() => Outcome::Cancelled,
+                    outcome = errand.called_off() => outcome,
                     outcome = talk => outcome,
                 };
                 if pipe.up.broken() {
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -174,7 +174,7 @@
 #[test]
 fn a_host_that_says_nothing_any_more_is_given_up_within_seven_seconds() {
     let host = Host::new("s-1");
-    let node = Node::start(&[&host], SOCKETS);
+    let mut node = Node::start(&[&host], SOCKETS);
     let mut client = node.open("d=2000");
     let mut server = host.accept();
     server.line();
@@ -186,6 +186,8 @@
     // The last sign of life may be 2 s older than the line.
     assert!(sent.elapsed() < Duration::from_secs(5), "{:?}", sent.elapsed());
     assert!(sent.elapsed() > Duration::from_secs(4), "{:?}", sent.elapsed());
+    // To the decisions it must not look like a client that left a sound host.
+    node.logged("outcome: Reset, closed: true");
 }
 
 #[test]
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -149,6 +149,7 @@
         std::fs::write(&path, config).expect("a file can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_marllink"))
             .env("NODE_CONFIG", &path)
+            .env("MARLLINK_LOG", "debug")
             .stderr(Stdio::piped())
             .spawn()
             .expect("the balancer starts");
