Let no fetched list undo what the watch has told meanwhile

Seen by reading take() in node/src/discovery.rs: a whole list is passed on whatever its version, which is right for a discovery that started anew, but a slow fetch could bring back a host that has drained since.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -114,10 +114,15 @@
 
     /// Fetches the whole list.
     async fn fetch_list(&self) -> Result<(), String> {
+        let before = self.rev.get();
         let mut body = self.call("/catalog/members").await?;
         let whole = self.clock.within(ANSWER_MS, body.read_all()).await;
         whole.unwrap_or_else(|| Err("no end of the list".into()))?;
-        self.take(&syntax::list(&body.text).ok_or("no list")?);
+        let list = syntax::list(&body.text).ok_or("no list")?;
+        // The watch may have brought later changes while this was under way.
+        if list.rev >= self.rev.get() || self.rev.get() == before {
+            self.take(&list);
+        }
         Ok(())
     }
 
