--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -461,3 +461,21 @@
     assert_eq!(moved.iter().sum::<usize>(), on_it);
     assert!(moved[0] > 0 && moved[0] <= on_it / 4, "{moved:?}");
 }
+
+#[test]
+fn a_node_takes_on_nothing_while_all_servers_report_much_load() {
+    // In a burst each node saw room on some server, and all servers piled up work together.
+    let mut node = probing(4);
+    node.shares(80);
+    for load in [0.69, 0.4] {
+        probes(&mut node, 10);
+        for server in 1..=4 {
+            report(&mut node, ServerId(server), load);
+        }
+        // The fleet is reviewed once a second.
+        probes(&mut node, 6);
+        let (_, actions) = node.ask(100.0);
+        assert_eq!(answered(&actions) == 1, load > 0.5, "{load}: {actions:?}");
+        assert_eq!(sent(&actions).is_some(), load < 0.5, "{load}: {actions:?}");
+    }
+}
