Go over to the configuration's discovery on SIGHUP instead of dying of it

Cause: main.rs set a handler for SIGTERM alone, so the default action ended it. Beside it: NODE_DISCOVERY beat the file (config.rs), which would have undone any new address, and a watch asked for by the decisions' timer would have cut off the one opened meanwhile (discovery.rs, watch). Now a reload checks the whole file, the file's address wins, calls to the old address are given up, and the list is asked for from version 0. What can't change is logged.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,5 +1,8 @@
-//! What the balancer is told at its start: the file that `NODE_CONFIG` names, and the variables
-//! `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY`, which come before what the file says.
+//! What the balancer is told: the file that `NODE_CONFIG` names, and the variables `NODE_NAME`,
+//! `NODE_LISTEN` and `NODE_DISCOVERY`, which come before what the file says at the start.
+//!
+//! The file may be read again while the balancer runs. A variable can't be changed from outside by
+//! then, so what the file says of discovery comes first.
 
 use crate::protocol::discovery::List;
 use marllink_settings::Parsed;
@@ -7,7 +10,7 @@
 use std::net::SocketAddr;
 
 /// All that the balancer is told.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// Its name, the same after a restart.
     pub name: String,
@@ -41,19 +44,54 @@
     sockets: usize,
 }
 
-/// Reads the configuration; `variable` looks up the environment and `read` a file.
+/// Reads the configuration at the start; `variable` looks up the environment and `read` a file.
 ///
 /// # Errors
 /// Says in one line what is missing or wrong, and where.
 pub fn load(
     variable: impl Fn(&str) -> Option<String>,
     read: impl Fn(&str) -> std::io::Result<Vec<u8>>,
+) -> Result<Config, String> {
+    load_with(variable, read, false)
+}
+
+/// Reads the configuration again: the whole file is checked as at the start.
+///
+/// # Errors
+/// Says in one line what is missing or wrong, and where.
+pub fn reload(
+    variable: impl Fn(&str) -> Option<String>,
+    read: impl Fn(&str) -> std::io::Result<Vec<u8>>,
+) -> Result<Config, String> {
+    load_with(variable, read, true)
+}
+
+impl Config {
+    /// What differs from `running` and holds only from the next start on, by the file's names.
+    pub fn only_at_start(&self, running: &Self) -> Vec<&'static str> {
+        let differs = [
+            ("name", self.name != running.name),
+            ("listen", self.listen != running.listen),
+            ("seed", self.seed != running.seed),
+            ("limits", self.sockets != running.sockets),
+            ("settings", self.settings != running.settings),
+        ];
+        differs.into_iter().filter_map(|(name, differs)| differs.then_some(name)).collect()
+    }
+}
+
+fn load_with(
+    variable: impl Fn(&str) -> Option<String>,
+    read: impl Fn(&str) -> std::io::Result<Vec<u8>>,
+    file_first: bool,
 ) -> Result<Config, String> {
     let path = variable("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
     let text = read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
     let file: File = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
     let told = |name: &str, key: &str, value: Option<String>| {
-        variable(name).or(value).ok_or(format!("neither {name} is set nor \"{key}\" in {path}"))
+        let (first, second) =
+            if file_first && key == "discovery" { (value, variable(name)) } else { (variable(name), value) };
+        first.or(second).ok_or(format!("neither {name} is set nor \"{key}\" in {path}"))
     };
     let address = |name: &str, key: &str, value: Option<String>| {
         let text = told(name, key, value)?;
@@ -98,6 +136,22 @@
         assert_eq!((config.seed, config.sockets), (0x8c1f_30d2_7a5b_e964, 4096));
     }
 
+    #[test]
+    fn a_file_read_again_names_discovery_before_the_environment_does() {
+        let variable = |name: &str| match name {
+            "NODE_CONFIG" => Some("c.json".to_owned()),
+            "NODE_DISCOVERY" => Some("127.0.0.8:1".to_owned()),
+            _ => None,
+        };
+        let changed = FILE.replace("10.0.0.4:8000", "10.0.0.5:8000").replace(":2,\"zone", ":3,\"zone");
+        let running = load(variable, |_| Ok(FILE.as_bytes().to_vec())).expect("it is well formed");
+        let again = reload(variable, |_| Ok(changed.as_bytes().to_vec())).expect("it is well formed");
+        assert_eq!(running.discovery.to_string(), "127.0.0.8:1");
+        assert_eq!(again.discovery.to_string(), "10.2.0.1:8500");
+        assert_eq!(again.only_at_start(&running), ["listen", "settings"]);
+        assert_eq!(running.only_at_start(&running), [""; 0]);
+    }
+
     #[test]
     fn what_is_wrong_is_said_in_one_line() {
         let wrong = [
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -28,11 +28,12 @@
     core: Weak<Core>,
     clock: Clock,
     directory: Rc<Directory>,
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     zones: Vec<String>,
     /// The version of the list in hand.
     rev: Cell<u64>,
-    /// The watch that is open, if one is.
+    /// The call for the whole list that is under way, and the watch that is open, if there are any.
+    fetch: RefCell<Option<AbortHandle>>,
     watch: RefCell<Option<AbortHandle>>,
     me: Weak<Discovery>,
 }
@@ -50,9 +51,10 @@
             core: Rc::downgrade(core),
             clock,
             directory,
-            address,
+            address: Cell::new(address),
             zones,
             rev: Cell::new(0),
+            fetch: RefCell::new(None),
             watch: RefCell::new(None),
             me: me.clone(),
         })
@@ -63,6 +65,21 @@
         self.tell(known, ListKind::Cached);
     }
 
+    /// Goes over to the service at another address, at once. Form hosts stay known until it tells
+    /// otherwise, and connections stand.
+    pub fn go_over_to(&self, address: SocketAddr) {
+        if self.address.replace(address) == address {
+            return;
+        }
+        // What the old address still answers must not undo what the new one tells.
+        for call in [self.fetch.take(), self.watch.take()].into_iter().flatten() {
+            call.abort();
+        }
+        // Versions need not go on from one service to the other: everything is asked for.
+        self.rev.set(0);
+        self.watch();
+    }
+
     /// Passes a list on. Changes that are part of the list in hand are passed over: discovery may
     /// answer a call that was made before a later one was answered.
     fn take(&self, list: &List) {
@@ -91,8 +108,8 @@
     /// Makes a call; `None` if it is refused, breaks, or is not answered in time.
     async fn call(&self, path: &str) -> Result<Body, String> {
         let calling = async {
-            let stream = TcpStream::connect(self.address).await.map_err(|e| e.to_string())?;
-            let host = self.address;
+            let host = self.address.get();
+            let stream = TcpStream::connect(host).await.map_err(|e| e.to_string())?;
             let request = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n");
             pump::write_all(&stream, request.as_bytes()).await.map_err(|e| e.to_string())?;
             let mut raw = Vec::new();
@@ -155,24 +172,28 @@
 impl Membership for Discovery {
     fn fetch(&self) {
         let Some(discovery) = self.me.upgrade() else { return };
-        tokio::task::spawn_local(async move {
+        let fetching = tokio::task::spawn_local(async move {
             if let Err(reason) = discovery.fetch_list().await {
                 discovery.failed("fetch", &reason);
             }
         });
+        if let Some(before) = self.fetch.replace(Some(fetching.abort_handle())) {
+            before.abort();
+        }
     }
 
     fn watch(&self) {
+        // The decisions ask again some time after a failure; a watch may have been opened meanwhile.
+        if self.watch.borrow().as_ref().is_some_and(|open| !open.is_finished()) {
+            return;
+        }
         let Some(discovery) = self.me.upgrade() else { return };
         let watching = tokio::task::spawn_local(async move {
             if let Err(reason) = discovery.watch_list().await {
                 discovery.failed("watch", &reason);
             }
         });
-        // Asking again while a watch is open is a new call, and the old one is no longer wanted.
-        if let Some(before) = self.watch.replace(Some(watching.abort_handle())) {
-            before.abort();
-        }
+        self.watch.replace(Some(watching.abort_handle()));
     }
 }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod protocol;
 mod pump;
+mod reload;
 mod ring;
 mod server;
 mod shutdown;
@@ -55,6 +56,7 @@
 /// Serves until a planned end.
 async fn run(config: Config) -> std::io::Result<()> {
     let term = shutdown::listen()?;
+    let hangup = reload::listen()?;
     let listener = listen(config.listen)
         .map_err(|e| std::io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
     let clock = Clock::of_machine();
@@ -76,7 +78,7 @@
         clock.clone(),
         directory,
         descriptors.clone(),
-        config.settings,
+        config.settings.clone(),
         orders,
     );
     let requests: std::rc::Weak<dyn core::Requests> = Rc::downgrade(&exchange) as _;
@@ -104,6 +106,7 @@
     tokio::select! {
         () = clients.accept(listener) => {}
         () = exchange.watch_over() => {}
+        () = reload::follow(hangup, &config, &discovery) => {}
         () = shutdown::orderly(term, &clock, &exchange) => {}
     }
     Ok(())
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -199,7 +199,7 @@
     server.line();
     server.send("UP 1\r\none\r\nhalf a li");
     assert_eq!([client.line(), client.line()], ["UP 1", "one"]);
-    node.terminate();
+    node.signal("TERM");
     node.logged("SIGTERM");
     let mut late = node.open("d=2000");
     let mut late_server = host.accept();
@@ -213,6 +213,46 @@
     assert!(node.ended().success());
 }
 
+#[test]
+fn sighup_goes_over_to_the_files_discovery_and_drops_neither_client_nor_host() {
+    let (host, other) = (Host::new("s-1"), Host::new("s-2"));
+    let mut node = Node::start(&[&host], SOCKETS);
+    let (_, mut before) = node.called();
+    begin_watch(&mut before);
+    let mut client = node.open("d=2000");
+    let mut server = host.accept();
+    server.line();
+    server.send("UP 1\r\n");
+    assert_eq!(client.line(), "UP 1");
+
+    let text = node.configure("{");
+    node.signal("HUP");
+    let said = node.logged("SIGHUP");
+    assert!(said.contains("ERROR SIGHUP: the configuration stays as it was: "), "{said}");
+    node.configure(&text);
+    for entry in [other.entry("DRAINING"), other.entry("SERVING")] {
+        drop(node.move_discovery());
+        node.signal("HUP");
+        let (path, mut watch) = node.called();
+        assert_eq!(path, "GET /catalog/members?watch=1&after=0 HTTP/1.1");
+        // The host known before is there until the new address has told of it ...
+        let mut late = node.open("d=2000");
+        let mut late_server = host.accept();
+        late_server.line();
+        late_server.send("UP 2\r\n");
+        assert_eq!(late.line(), "UP 2");
+        // ... and what that tells holds, though its versions begin anew.
+        begin_watch(&mut watch);
+        chunk(&mut watch, &(list(1, false, &[entry]) + "\n"));
+        node.logged("ServerList { kind: Delta");
+    }
+    client.send("still here\r\n");
+    assert_eq!(server.line(), "still here");
+    node.signal("TERM");
+    assert_eq!(client.rest(), ["MOVE", "(end)"]);
+    assert!(node.ended().success());
+}
+
 #[test]
 fn malformed_overlong_and_silent_clients_cost_only_themselves() {
     let host = Host::new("s-1");
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -18,7 +18,10 @@
 }
 
 fn listen() -> TcpListener {
-    TcpListener::bind((own_address(), 0)).expect("a loopback address is free")
+    let listener = TcpListener::bind((own_address(), 0)).expect("a loopback address is free");
+    // Holds for accepting as well.
+    socket2::SockRef::from(&listener).set_read_timeout(Some(PATIENCE)).expect("a time-out can be set");
+    listener
 }
 
 /// One end of a connection, spoken in lines.
@@ -149,6 +152,7 @@
         std::fs::write(&path, config).expect("a file can be written");
         let mut child = Command::new(env!("CARGO_BIN_EXE_marllink"))
             .env("NODE_CONFIG", &path)
+            .env("NODE_DISCOVERY", discovery.local_addr().expect("it listens").to_string())
             .env("MARLLINK_LOG", "debug")
             .stderr(Stdio::piped())
             .spawn()
@@ -159,8 +163,8 @@
         node
     }
 
-    /// Waits until the log says this.
-    pub fn logged(&mut self, text: &str) {
+    /// Waits until the log says this, and gives the line.
+    pub fn logged(&mut self, text: &str) -> String {
         let mut line = String::new();
         while !line.contains(text) {
             line.clear();
@@ -169,6 +173,7 @@
                 "the log ended without \"{text}\""
             );
         }
+        line
     }
 
     pub fn connect(&self) -> Peer {
@@ -190,9 +195,26 @@
         (path, call)
     }
 
-    pub fn terminate(&self) {
+    /// Takes over a new place for discovery, and writes it into the configuration; gives the old.
+    pub fn move_discovery(&mut self) -> TcpListener {
+        let old = std::mem::replace(&mut self.discovery, listen());
+        let address = |at: &TcpListener| at.local_addr().expect("it listens").to_string();
+        let text = self.configure("");
+        self.configure(&text.replace(&address(&old), &address(&self.discovery)));
+        old
+    }
+
+    /// Replaces the text of the configuration, and gives what it was.
+    pub fn configure(&self, text: &str) -> String {
+        let old = std::fs::read_to_string(&self.config).expect("it was written");
+        std::fs::write(&self.config, text).expect("a file can be written");
+        old
+    }
+
+    /// Sends the program a signal, named as `kill` does.
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args(["-TERM", &pid]).status().expect("there is a kill command");
+        let status = Command::new("kill").args(["-s", name, &pid]).status().expect("there is a kill command");
         assert!(status.success());
     }
 
