End a client's task in order once its form host has ended, instead of by a panic

Cause: client.rs, carry: when the direction up has ended, `reading` is done; the branch `if more` awaited it again. Checked: every BYE of the process tests took that path, unnoticed.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -112,6 +112,7 @@
         });
         let writing = pump::empty(&pipe.down, stream);
         tokio::pin!(reading, writing);
+        let mut client_may_send = true;
         let more = tokio::select! {
             () = self.overdue(&ticket) => false,
             left = &mut reading => match left {
@@ -122,11 +123,15 @@
                 }
                 // A client that leaves before its answer has given up.
                 Some(_) => return,
-                None => self.clock.within(LINGER_MS, &mut writing).await.unwrap_or(false),
+                None => {
+                    // The form host is gone: nothing more is read, only what it said last goes out.
+                    client_may_send = false;
+                    self.clock.within(LINGER_MS, &mut writing).await.unwrap_or(false)
+                }
             },
             more = &mut writing => more,
         };
-        if more {
+        if more && client_may_send {
             // The form host has ended its sending; the client may still send.
             if let Some(Some(end)) = self.clock.within(LINGER_MS, &mut reading).await {
                 pipe.up.end(end);
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -172,6 +172,7 @@
                 self.log.read_line(&mut line).expect("the log is text") > 0,
                 "the log ended without \"{text}\""
             );
+            assert!(!line.contains("panicked"), "{line}");
         }
         line
     }
@@ -229,6 +230,11 @@
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = (self.child.kill(), self.child.wait(), std::fs::remove_file(&self.config));
+        let mut log = String::new();
+        // A task that panics takes only its own connection along; here no task may.
+        if self.log.read_to_string(&mut log).is_ok() && !std::thread::panicking() {
+            assert!(!log.contains("panicked"), "{log}");
+        }
     }
 }
 
