Give all of a connection's opening one limit, own places, and a check of every field

Causes, each shown by a process test that fails without its part: - client.rs, serve: 5 s a line, renewed by each PING; mute connections took the general descriptors, and once all were in use accepting waited (descriptor()). - exchange.rs, open: unwrap_or(0) served unknown classes as the first one; nothing looked whether an id was in use. line.rs: missing c or d, doubled fields, and fields that only hosts use passed unread, and each ERR of a host counted against that host. - client.rs, drain: 0.5 s with reads of 1 KiB; a client with more to send was reset.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -8,20 +8,36 @@
 use crate::pump;
 use crate::ring::End;
 use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::Shutdown;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
-/// A connection must send its first line within this time: clients send it at once.
-const FIRST_LINE_MS: Millis = 5_000.0;
+/// A connection must have asked for something sound within this time of being accepted, however
+/// many lines it sends: a limit on each line could be drawn out for ever. Clients ask at once, and
+/// whoever does not is owed an answer within 3 s of connecting.
+const OPENING_MS: Millis = 2_000.0;
+/// So many `PING`s may come before that; more is a flood.
+const MOST_PINGS: usize = 8;
+/// A connection that is turned away has so long to take its last line, counted as above. It may be
+/// sending all the while, and a close with input unread would destroy that line.
+const TURN_AWAY_MS: Millis = 5_500.0;
 /// When one direction has ended, the other has so long to end as well.
 const LINGER_MS: Millis = 30_000.0;
-/// A client that has had its last line has so long to close.
+/// A client that has had its last line and sends nothing has so long to close.
 const CLOSE_MS: Millis = 500.0;
-/// After a failed accept, and while no descriptor is free, so long passes before the next.
+/// After a failed accept so long passes before the next.
 const PAUSE_MS: Millis = 10.0;
 /// The decisions answer before a client's time is over; this much later the guard does.
 const OVERDUE_MS: Millis = 5.0;
+/// Input that nobody wants is dropped in pieces of this size ...
+const DROPPED: usize = 512 * 1024;
+/// ... with a pause after each: a flood at full speed must not take the CPU from those served.
+const DROP_PAUSE_MS: Millis = 5.0;
+/// So often is told how many were turned away.
+const TELL_MS: Millis = 10_000.0;
 
 /// The client side.
 pub struct Clients {
@@ -33,6 +49,63 @@
     pub descriptors: Rc<Descriptors>,
     /// What a client is told that comes while all descriptors are in use; 0 for nothing.
     pub retry_after_ms: Millis,
+    /// Connections that have not asked for anything sound yet.
+    pub openings: Rc<Openings>,
+}
+
+/// Connections that have not asked for anything sound yet or are being turned away, oldest first.
+#[derive(Default)]
+pub struct Openings {
+    next: Cell<u64>,
+    leave: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    left: Notify,
+    turned_away: Cell<usize>,
+}
+
+/// The place of one of them, given back when dropped.
+struct Place {
+    openings: Rc<Openings>,
+    number: u64,
+    /// Told when the place is needed for a newcomer.
+    leave: Rc<Notify>,
+    descriptor: Option<Descriptor>,
+}
+
+impl Openings {
+    /// A place for a connection just accepted. If all are taken the oldest must leave: clients ask
+    /// at once, so it is the least likely to be one.
+    async fn place(self: &Rc<Self>, descriptors: &Rc<Descriptors>) -> Place {
+        let descriptor = loop {
+            if let Some(descriptor) = descriptors.take_for_opening() {
+                break descriptor;
+            }
+            let left = self.left.notified();
+            if let Some((_, oldest)) = self.leave.borrow_mut().pop_first() {
+                oldest.notify_one();
+            }
+            left.await;
+        };
+        let number = self.next.replace(self.next.get() + 1);
+        let leave = Rc::new(Notify::new());
+        self.leave.borrow_mut().insert(number, leave.clone());
+        Place { openings: self.clone(), number, leave, descriptor: Some(descriptor) }
+    }
+}
+
+impl Place {
+    /// Gives the place back.
+    fn release(&mut self) {
+        if self.descriptor.take().is_some() {
+            self.openings.leave.borrow_mut().remove(&self.number);
+            self.openings.left.notify_one();
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.release();
+    }
 }
 
 impl Clients {
@@ -41,9 +114,10 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let descriptor = self.descriptor().await;
+                    // Takes at most as long as another connection needs to close.
+                    let place = self.openings.place(&self.descriptors).await;
                     let clients = self.clone();
-                    tokio::task::spawn_local(async move { clients.serve(stream, descriptor).await });
+                    tokio::task::spawn_local(async move { clients.serve(stream, place).await });
                 }
                 Err(error) => {
                     // Trying again at once would spin, and what is missing comes back with time.
@@ -54,60 +128,99 @@
         }
     }
 
-    /// A descriptor for a connection just accepted, by which it is served or at least refused.
-    async fn descriptor(&self) -> Descriptor {
+    /// Tells from time to time how many were turned away, if any were, for ever.
+    pub async fn tell(&self) {
         loop {
-            let descriptor = self.descriptors.take().or_else(|| self.descriptors.take_for_refusal());
-            match descriptor {
-                Some(descriptor) => return descriptor,
-                None => self.clock.sleep(PAUSE_MS).await,
+            self.clock.sleep(TELL_MS).await;
+            let count = self.openings.turned_away.take();
+            if count > 0 {
+                tracing::info!("{count} connections that asked for nothing sound were turned away");
             }
         }
     }
 
-    /// Serves one connection to its end; the descriptor is given back after the socket.
-    async fn serve(&self, stream: TcpStream, descriptor: Descriptor) {
+    /// Serves one connection to its end.
+    async fn serve(&self, stream: TcpStream, mut place: Place) {
         // Lines are short and must not wait for others.
         let _ = stream.set_nodelay(true);
+        let until = self.clock.now() + OPENING_MS;
         let pipe = Pipe::new();
-        loop {
-            let Some(hello) = self.clock.within(FIRST_LINE_MS, first_line(&stream, &pipe)).await else {
-                break;
-            };
-            match hello {
-                Ok(Some(Hello::Ping)) => {
-                    if pump::write_all(&stream, b"PONG\r\n").await.is_err() {
-                        break;
+        let leave = place.leave.clone();
+        let opening = async {
+            let asked = self.clock.within(OPENING_MS, self.asked(&stream, &pipe)).await;
+            let wrong = match asked {
+                Some(Ok(opening)) => {
+                    let left = until - self.clock.now();
+                    let descriptor = self.descriptors.take();
+                    if descriptor.is_some() && opening.at.is_some() {
+                        // What was open before may have to wait, and must not leave for that.
+                        place.release();
+                    }
+                    match descriptor {
+                        Some(descriptor) => match self.exchange.open(opening, pipe.clone(), left).await {
+                            Ok(ticket) => return Some((ticket, descriptor)),
+                            Err(wrong) => wrong,
+                        },
+                        None => {
+                            self.turn_away(&stream, &line::busy(self.retry_after_ms), until).await;
+                            return None;
+                        }
                     }
                 }
-                Ok(Some(Hello::Open(_))) if descriptor.for_refusal() => {
-                    self.farewell(&stream, &line::busy(self.retry_after_ms)).await;
-                    break;
-                }
-                Ok(Some(Hello::Open(opening))) => {
-                    self.carry(&stream, *opening, pipe).await;
-                    break;
-                }
-                Ok(None) => {
-                    self.farewell(&stream, "ERR\r\n").await;
-                    break;
+                Some(Err(Unsound::Gone)) => return None,
+                Some(Err(Unsound::Malformed)) => "no line of the protocol",
+                None => "no request in time",
+            };
+            tracing::debug!("a client is turned away: {wrong}");
+            self.openings.turned_away.set(self.openings.turned_away.get() + 1);
+            self.turn_away(&stream, "ERR\r\n", until).await;
+            None
+        };
+        let taken = tokio::select! {
+            biased;
+            taken = opening => taken,
+            () = leave.notified() => {
+                // There is no time to wait for anything; a line this short fits in any socket.
+                let _ = stream.try_write(b"ERR\r\n");
+                None
+            }
+        };
+        match taken {
+            Some((ticket, descriptor)) => {
+                drop(place);
+                self.carry(&stream, ticket, pipe).await;
+                // Given back after the socket.
+                drop(stream);
+                drop(descriptor);
+            }
+            // The place is given back after the socket, as the newcomer needs the descriptor.
+            None => drop(stream),
+        }
+    }
+
+    /// Reads until a client has asked for a connection, and answers `PING`s before.
+    async fn asked(&self, stream: &TcpStream, pipe: &Pipe) -> Result<Opening, Unsound> {
+        for _ in 0..=MOST_PINGS {
+            match first_line(stream, pipe).await? {
+                Some(Hello::Ping) => {
+                    pump::write_all(stream, b"PONG\r\n").await.map_err(|_| Unsound::Gone)?;
                 }
-                Err(Gone) => break,
+                // A client waits for its answer before it sends more.
+                Some(Hello::Open(opening)) if pipe.up.held() == 0 => return Ok(*opening),
+                _ => break,
             }
         }
-        drop(stream);
-        drop(descriptor);
+        Err(Unsound::Malformed)
     }
 
     /// Carries one request and its connection.
-    async fn carry(&self, stream: &TcpStream, opening: Opening, pipe: Rc<Pipe>) {
-        let Some(ticket) = self.exchange.open(opening, pipe.clone()).await else {
-            return self.farewell(stream, "ERR\r\n").await;
-        };
-        // Lines may have come along with the first.
-        ticket.sent(&pipe);
+    async fn carry(&self, stream: &TcpStream, ticket: Ticket, pipe: Rc<Pipe>) {
         let reading = pump::fill(stream, &pipe.up, || {
-            ticket.sent(&pipe);
+            if pipe.standing() {
+                ticket.sent(&pipe);
+            } else {
+                ticket.malformed();
+            }
             true
         });
         let writing = pump::empty(&pipe.down, stream);
@@ -137,7 +250,7 @@
                 pipe.up.end(end);
             }
         } else if !pipe.down.broken() {
-            self.drain(stream).await;
+            self.drain(stream, TURN_AWAY_MS - OPENING_MS).await;
         }
     }
 
@@ -148,46 +261,48 @@
         std::future::pending().await
     }
 
-    /// Sends a last line and closes.
-    async fn farewell(&self, stream: &TcpStream, line: &str) {
+    /// Sends a last line and closes; `until` is the end of the time to ask in.
+    async fn turn_away(&self, stream: &TcpStream, line: &str, until: Millis) {
+        let left = until - OPENING_MS + TURN_AWAY_MS - self.clock.now();
         if self.clock.within(CLOSE_MS, pump::write_all(stream, line.as_bytes())).await.is_some() {
-            self.drain(stream).await;
+            self.drain(stream, left).await;
         }
     }
 
-    /// Ends our sending and waits for the client to close. A close with lines of the client unread
-    /// is a reset, which may overtake the last line we sent.
-    async fn drain(&self, stream: &TcpStream) {
+    /// Ends our sending and waits for the client to close, or to be quiet for a while. A close with
+    /// lines of the client unread is a reset, which may overtake the last line we sent.
+    async fn drain(&self, stream: &TcpStream, for_ms: Millis) {
         let _ = SockRef::from(stream).shutdown(Shutdown::Write);
         let rest = async {
-            let mut unread = [0; 1024];
-            loop {
-                if stream.readable().await.is_err() {
-                    return;
-                }
-                match stream.try_read(&mut unread) {
-                    Ok(0) => return,
-                    Err(e) if e.kind() != std::io::ErrorKind::WouldBlock => return,
-                    _ => {}
-                }
+            while let Some(Ok(true)) = self.clock.within(CLOSE_MS, pump::discard(stream, DROPPED)).await {
+                self.clock.sleep(DROP_PAUSE_MS).await;
             }
         };
-        self.clock.within(CLOSE_MS, rest).await;
+        self.clock.within(for_ms, rest).await;
     }
 }
 
-/// The client has closed or broken its connection.
-struct Gone;
+/// A connection that asks for nothing that can be served.
+enum Unsound {
+    /// The client has closed or broken it.
+    Gone,
+    /// What came is not of the protocol.
+    Malformed,
+}
 
 /// Reads a first line; `None` if it is not of the protocol, or too long.
-async fn first_line(stream: &TcpStream, pipe: &Pipe) -> Result<Option<Hello>, Gone> {
+async fn first_line(stream: &TcpStream, pipe: &Pipe) -> Result<Option<Hello>, Unsound> {
     let up = &pipe.up;
     let whole = || up.line().is_some() || up.held() > LONGEST;
     if !whole() && pump::fill(stream, up, || !whole()).await != Some(End::Reset) || !whole() {
-        return Err(Gone);
+        return Err(Unsound::Gone);
     }
     Ok(up.line().filter(|line| line.len() <= LONGEST).and_then(|line| {
         up.discard(line.len());
-        line::hello(&line)
+        let hello = line::hello(&line);
+        if hello.is_none() {
+            tracing::debug!("no line of the protocol: {}", line[..line.len().min(200)].escape_ascii());
+        }
+        hello
     }))
 }
--- a/node/src/descriptors.rs
+++ b/node/src/descriptors.rs
@@ -9,54 +9,49 @@
 /// Kept back: standard streams, the listener, the event queue, signals, discovery's calls, and
 /// some for what the libraries open.
 const OWN: usize = 24;
-/// Kept back for clients that come when all else is in use: they are refused, and not left unheard.
-const REFUSALS: usize = 32;
+/// The share of the rest that is for connections which have not said yet what they want, or are
+/// being turned away: clients hold at most a third, and so do their connections to form hosts.
+const OPENINGS: f64 = 0.25;
 
 /// What is left of the limit.
 #[derive(Debug)]
 pub struct Descriptors {
     general: Cell<usize>,
-    refusals: Cell<usize>,
+    openings: Cell<usize>,
 }
 
 /// One descriptor, given back when dropped.
 #[derive(Debug)]
 pub struct Descriptor {
     pool: Rc<Descriptors>,
-    refusal: bool,
+    opening: bool,
 }
 
 impl Descriptors {
     /// All of `limit` but what the process needs for itself.
     pub fn new(limit: usize) -> Rc<Self> {
         let left = limit.saturating_sub(OWN);
-        let refusals = REFUSALS.min(left / 4);
-        Rc::new(Self { general: Cell::new(left - refusals), refusals: Cell::new(refusals) })
+        // Without any, nobody could even be turned away.
+        let openings = ((left as f64 * OPENINGS) as usize).max(1);
+        Rc::new(Self { general: Cell::new(left.saturating_sub(openings)), openings: Cell::new(openings) })
     }
 
-    /// One for any use.
+    /// One for a client's connection that is served, or for one to a form host.
     pub fn take(self: &Rc<Self>) -> Option<Descriptor> {
         self.general.set(self.general.get().checked_sub(1)?);
-        Some(Descriptor { pool: self.clone(), refusal: false })
+        Some(Descriptor { pool: self.clone(), opening: false })
     }
 
-    /// One for a client that will be refused.
-    pub fn take_for_refusal(self: &Rc<Self>) -> Option<Descriptor> {
-        self.refusals.set(self.refusals.get().checked_sub(1)?);
-        Some(Descriptor { pool: self.clone(), refusal: true })
-    }
-}
-
-impl Descriptor {
-    /// True if its holder can only be refused.
-    pub fn for_refusal(&self) -> bool {
-        self.refusal
+    /// One for a connection that has just come.
+    pub fn take_for_opening(self: &Rc<Self>) -> Option<Descriptor> {
+        self.openings.set(self.openings.get().checked_sub(1)?);
+        Some(Descriptor { pool: self.clone(), opening: true })
     }
 }
 
 impl Drop for Descriptor {
     fn drop(&mut self) {
-        let count = if self.refusal { &self.pool.refusals } else { &self.pool.general };
+        let count = if self.opening { &self.pool.openings } else { &self.pool.general };
         count.set(count.get() + 1);
     }
 }
@@ -66,13 +61,14 @@
     use super::*;
 
     #[test]
-    fn when_all_are_in_use_some_are_left_to_refuse_with_and_all_come_back() {
+    fn served_connections_and_openings_take_nothing_from_each_other_and_all_come_back() {
         let pool = Descriptors::new(OWN + 8);
         let taken: Vec<_> = std::iter::from_fn(|| pool.take()).collect();
-        let refusing: Vec<_> = std::iter::from_fn(|| pool.take_for_refusal()).collect();
-        assert_eq!((taken.len(), refusing.len()), (6, 2));
-        drop((taken, refusing));
-        assert_eq!((pool.general.get(), pool.refusals.get()), (6, 2));
+        let opening: Vec<_> = std::iter::from_fn(|| pool.take_for_opening()).collect();
+        assert_eq!((taken.len(), opening.len()), (6, 2));
+        drop((taken, opening));
+        assert_eq!((pool.general.get(), pool.openings.get()), (6, 2));
         assert!(Descriptors::new(3).take().is_none());
+        assert!(Descriptors::new(3).take_for_opening().is_some());
     }
 }
--- a/node/src/directory.rs
+++ b/node/src/directory.rs
@@ -1,7 +1,7 @@
 //! Where form hosts are reached. Discovery writes it, the exchange reads it.
 
 use marllink::ServerId;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use tokio::sync::Notify;
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     addresses: RefCell<HashMap<ServerId, SocketAddr>>,
+    told: Cell<bool>,
     changed: Notify,
 }
 
@@ -26,6 +27,19 @@
         self.addresses.borrow().get(&server).copied()
     }
 
+    /// Discovery itself has told of the form hosts: who is not known now may never be.
+    pub fn tell(&self) {
+        self.told.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until discovery has told.
+    pub async fn told(&self) {
+        while !self.told.get() {
+            self.changed.notified().await;
+        }
+    }
+
     /// Waits until a form host is known.
     pub async fn known(&self, server: ServerId) {
         while self.address(server).is_none() {
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -95,6 +95,9 @@
         for target in &list.targets {
             self.directory.insert(target.server(), target.endpoint);
         }
+        if kind != ListKind::Cached {
+            self.directory.tell();
+        }
         let entries = list.targets.iter().map(|t| t.entry(&self.clock, &self.zones)).collect();
         self.feed(Event::ServerList { kind, entries });
     }
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -16,15 +16,14 @@
 use marllink::{AttemptNo, ClassId, Event, NewRequest, Outcome, RequestId, ServerId, TenantId};
 use marllink_settings::Parsed;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use tokio::sync::{Notify, mpsc};
 
 /// A client's answer is sent so long before it gives up: the way back takes time as well.
 const ANSWER_MARGIN_MS: Millis = 10.0;
-/// How long a connection may take to come up that was open before, or tells no time of its own.
-/// Such clients say that they wait for over an hour, which would hold a lost one for as long.
+/// How long a connection may take to come up that was open before. Such clients say that they wait for over an hour, which would hold a lost one for as long.
 const NO_DEADLINE_MS: Millis = 40_000.0;
 /// A form host that has owed an answer for so long and sent nothing is lost: the connection must
 /// end within 7 s of its last sign of life, and clients send a line every 2 s.
@@ -102,7 +101,28 @@
     Over,
 }
 
+/// An id in use, given back when dropped.
+struct IdInUse {
+    id: u64,
+    all: Rc<RefCell<HashSet<u64>>>,
+}
+
+impl IdInUse {
+    /// Takes an id; `None` if an open request has it.
+    fn take(id: u64, all: &Rc<RefCell<HashSet<u64>>>) -> Option<Self> {
+        all.borrow_mut().insert(id).then(|| Self { id, all: all.clone() })
+    }
+}
+
+impl Drop for IdInUse {
+    fn drop(&mut self) {
+        self.all.borrow_mut().remove(&self.id);
+    }
+}
+
 struct Entry {
+    /// Held until the request is over.
+    _id: IdInUse,
     opening: Rc<Opening>,
     pipe: Rc<Pipe>,
     phase: Phase,
@@ -146,6 +166,8 @@
     settings: Parsed,
     orders: mpsc::UnboundedSender<Order>,
     entries: RefCell<BTreeMap<RequestId, Entry>>,
+    /// The ids, as clients gave them, of requests that are not over.
+    in_use: Rc<RefCell<HashSet<u64>>>,
     delays: RefCell<Delays>,
     emptied: Notify,
     me: Weak<Exchange>,
@@ -171,6 +193,7 @@
             settings,
             orders,
             entries: RefCell::default(),
+            in_use: Rc::default(),
             delays,
             emptied: Notify::new(),
             me: me.clone(),
@@ -178,23 +201,52 @@
     }
 
     /// Takes a client's request. From here on it is owed exactly one final answer, which comes by
-    /// `pipe`. A connection that was open before goes to its form host, once that is known.
-    pub async fn open(&self, opening: Opening, pipe: Rc<Pipe>) -> Option<Ticket> {
+    /// `pipe`. A connection that was open before goes to its form host, once that is known; while
+    /// discovery has told nothing yet it is waited for, and else only for `patience_ms`.
+    ///
+    /// # Errors
+    /// Tells what is wrong with a request that no form host may see.
+    pub async fn open(
+        &self,
+        opening: Opening,
+        pipe: Rc<Pipe>,
+        patience_ms: Millis,
+    ) -> Result<Ticket, &'static str> {
+        let names = &self.settings.names;
+        let index =
+            |names: &[String], wanted: &str| names.iter().position(|name| name == wanted).map(|at| at as u16);
+        // A class taken for another would be served as what it is not.
+        let class = index(&names.classes, &opening.class).ok_or("no such class")?;
+        let tenant = match &opening.tenant {
+            Some(tenant) if !names.tenants.is_empty() => {
+                index(&names.tenants, tenant).ok_or("no such tenant")?
+            }
+            _ => 0,
+        };
+        // Form hosts tell connections apart by their ids: a second one would be a copy of the first.
+        let id_in_use = IdInUse::take(opening.id, &self.in_use).ok_or("the id of an open request")?;
         let at = opening.at.as_deref().map(|uid| ServerId(line::number_of(uid)));
         let most = if at.is_some() { NO_DEADLINE_MS } else { f64::INFINITY };
-        let wait_ms = opening.wait_ms.unwrap_or(NO_DEADLINE_MS).min(most) - ANSWER_MARGIN_MS;
+        let wait_ms = opening.wait_ms.min(most) - ANSWER_MARGIN_MS;
         let taken_at = self.clock.now();
         if let Some(server) = at {
-            self.clock.within(wait_ms, self.directory.known(server)).await?;
+            let known = self.directory.known(server);
+            let told = async {
+                self.directory.told().await;
+                self.clock.sleep(patience_ms).await;
+            };
+            tokio::select! {
+                biased;
+                () = known => {}
+                () = told => return Err("no such form host"),
+                () = self.clock.sleep(wait_ms) => return Err("no such form host"),
+            }
         }
         let id = self.core.number_request();
-        let names = &self.settings.names;
-        let index =
-            |names: &[String], wanted: &str| names.iter().position(|name| name == wanted).unwrap_or(0) as u16;
         let new = NewRequest {
             request: id,
-            class: ClassId(index(&names.classes, &opening.class)),
-            tenant: TenantId(opening.tenant.as_deref().map_or(0, |tenant| index(&names.tenants, tenant))),
+            class: ClassId(class),
+            tenant: TenantId(tenant),
             key: opening.key,
             group: opening.group,
             time_left_ms: wait_ms - (self.clock.now() - taken_at),
@@ -202,6 +254,7 @@
             mid_flow: false,
         };
         let entry = Entry {
+            _id: id_in_use,
             opening: Rc::new(opening),
             pipe,
             phase: Phase::Waiting,
@@ -220,7 +273,7 @@
             }
         }
         let exchange = self.me.upgrade().expect("it is in use");
-        Some(Ticket { exchange, id, wait_ms: time_left_ms })
+        Ok(Ticket { exchange, id, wait_ms: time_left_ms })
     }
 
     /// Looks for connections whose form host has gone silent, and tells of slow messages.
@@ -459,6 +512,13 @@
         pipe.up.commit(pipe.up.held());
     }
 
+    /// The client has sent something before its answer, which no client of the protocol does:
+    /// nothing of that may reach a form host, and the request ends here.
+    pub fn malformed(&self) {
+        self.exchange.answer(self.id, "ERR\r\n".into());
+        self.exchange.core.feed(Event::ClientGone(self.id));
+    }
+
     /// The client's time is over. A guard: the decisions answer before that.
     pub fn overdue(&self) {
         let waiting = |e: &Entry| matches!(e.phase, Phase::Waiting);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -96,6 +96,7 @@
         clock: clock.clone(),
         descriptors,
         retry_after_ms: if decisions.limits.retry_after { decisions.limits.max_retry_after_ms } else { 0.0 },
+        openings: Rc::default(),
     });
     tracing::info!(
         "{}: listening on {}, {} form hosts known",
@@ -104,7 +105,8 @@
         config.known.targets.len()
     );
     tokio::select! {
-        () = clients.accept(listener) => {}
+        () = clients.clone().accept(listener) => {}
+        () = clients.tell() => {}
         () = exchange.watch_over() => {}
         () = reload::follow(hangup, &config, &discovery) => {}
         () = shutdown::orderly(term, &clock, &exchange) => {}
--- a/node/src/protocol/line.rs
+++ b/node/src/protocol/line.rs
@@ -4,6 +4,7 @@
 use std::ops::Range;
 use winnow::ascii::{dec_uint, float};
 use winnow::combinator::{alt, delimited, opt, preceded, separated, terminated};
+use winnow::error::{ContextError, ErrMode};
 use winnow::prelude::*;
 use winnow::stream::LocatingSlice;
 use winnow::token::{literal, take_till, take_while};
@@ -14,14 +15,14 @@
 type Text<'a> = LocatingSlice<&'a [u8]>;
 
 /// A line that asks for a connection.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Opening {
     /// The line as it came, its end included.
     line: Vec<u8>,
     /// Where the value of `d` stands in it.
-    wait_at: Option<Range<usize>>,
+    wait_at: Range<usize>,
     /// Its id.
-    pub id: String,
+    pub id: u64,
     /// The flow's key.
     pub key: u64,
     /// The class, by name.
@@ -29,7 +30,7 @@
     /// The tenant, by name.
     pub tenant: Option<String>,
     /// How long the client waits, in milliseconds.
-    pub wait_ms: Option<f64>,
+    pub wait_ms: f64,
     /// The client or the group that it belongs to; 0 for none.
     pub group: u64,
     /// A client's retry.
@@ -41,11 +42,10 @@
 impl Opening {
     /// The line for a form host: unchanged, but that it tells how long the balancer will wait.
     pub fn for_host(&self, wait_ms: f64) -> Vec<u8> {
-        let Some(at) = &self.wait_at else { return self.line.clone() };
-        let mut line = self.line[..at.start].to_vec();
+        let mut line = self.line[..self.wait_at.start].to_vec();
         // Rounded down: the host must not be told of time that is not there.
         line.extend((wait_ms.max(1.0) as u64).to_string().bytes());
-        line.extend_from_slice(&self.line[at.end..]);
+        line.extend_from_slice(&self.line[self.wait_at.end..]);
         line
     }
 }
@@ -83,7 +83,7 @@
 /// Reads a client's first line, its end included. `None` if it is not of the protocol.
 pub fn hello(line: &[u8]) -> Option<Hello> {
     let text = LocatingSlice::new(line);
-    let ping = terminated(literal("PING"), line_end).value(None);
+    let ping = literal("PING\r\n").value(None);
     let opening = alt((ping, opening.map(Some))).parse(text).ok()?;
     Some(match opening {
         None => Hello::Ping,
@@ -123,11 +123,6 @@
         .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
 }
 
-/// A name that should be hexadecimal; one that is not is as good as another number.
-fn hex_or_name(text: &str) -> u64 {
-    u64::from_str_radix(text, 16).unwrap_or_else(|_| number_of(text))
-}
-
 fn is_end(byte: u8) -> bool {
     byte == b'\r' || byte == b'\n'
 }
@@ -136,52 +131,70 @@
     (opt(b'\r'), b'\n').void().parse_next(input)
 }
 
-fn word<'a>(input: &mut Text<'a>) -> ModalResult<&'a str> {
-    take_while(1.., |b: u8| b.is_ascii_graphic()).try_map(std::str::from_utf8).parse_next(input)
-}
-
 fn tail(input: &mut Text<'_>) -> ModalResult<Report> {
     let text = opt(preceded(b' ', take_till(0.., is_end))).parse_next(input)?;
     // Words that are no report say nothing of the load, and the answer holds all the same.
     Ok(text.and_then(report::parse).unwrap_or_default())
 }
 
+/// An id, a key or a group: up to 64 bits, whether their letters are large or small.
+fn hex(input: &mut Text<'_>) -> ModalResult<u64> {
+    let digits = take_while(1..=16, |b: u8| b.is_ascii_hexdigit()).try_map(std::str::from_utf8);
+    digits.try_map(|text| u64::from_str_radix(text, 16)).parse_next(input)
+}
+
 fn pair<'a>(input: &mut Text<'a>) -> ModalResult<(&'a str, (&'a str, Range<usize>))> {
     let name = take_while(1.., |b: u8| b.is_ascii_alphanumeric() || b == b'_');
-    let value = take_while(0.., |b: u8| b.is_ascii_graphic() && b != b',');
+    let value = take_while(1.., |b: u8| b.is_ascii_graphic() && b != b',');
     let name = terminated(name.try_map(std::str::from_utf8), b'=').parse_next(input)?;
     let value = value.try_map(std::str::from_utf8).with_span().parse_next(input)?;
     Ok((name, value))
 }
 
+/// Every field is read here, also those that only form hosts use: one that they could not read
+/// would be their answer to a request that was never sound, and count against them.
 fn opening(input: &mut Text<'_>) -> ModalResult<Opening> {
-    let id = preceded(literal("OPEN "), word).parse_next(input)?;
-    let key = preceded(b' ', word).parse_next(input)?;
-    let pairs: Vec<_> = preceded(b' ', separated(0.., pair, b',')).parse_next(input)?;
-    line_end.parse_next(input)?;
-    let value = |wanted| pairs.iter().find(|(name, _)| *name == wanted).map(|(_, value)| value.clone());
-    let text = |wanted| value(wanted).map(|(text, _)| text.to_owned());
-    let wait = value("d");
-    let wait_ms = match &wait {
-        Some((text, _)) => {
-            let ms = terminated(dec_uint::<_, u32, winnow::error::ContextError>, winnow::combinator::eof);
-            let ms = { ms }.parse_next(&mut text.as_bytes());
-            Some(f64::from(ms.map_err(|_| winnow::error::ErrMode::Cut(winnow::error::ContextError::new()))?))
+    let id = preceded(literal("OPEN "), hex).parse_next(input)?;
+    let key = preceded(b' ', hex).parse_next(input)?;
+    let pairs: Vec<_> = preceded(b' ', separated(1.., pair, b',')).parse_next(input)?;
+    literal("\r\n").void().parse_next(input)?;
+    fields(id, key, &pairs).ok_or(ErrMode::Cut(ContextError::new()))
+}
+
+fn fields(id: u64, key: u64, pairs: &[(&str, (&str, Range<usize>))]) -> Option<Opening> {
+    let mut opening = Opening { id, key, ..Opening::default() };
+    let (mut class, mut wait) = (None, None);
+    for (at, (name, (text, span))) in pairs.iter().enumerate() {
+        if pairs[..at].iter().any(|(before, _)| before == name) {
+            return None;
         }
-        None => None,
-    };
-    Ok(Opening {
-        line: Vec::new(),
-        wait_at: wait.map(|(_, at)| at),
-        id: id.to_owned(),
-        key: hex_or_name(key),
-        class: text("c").unwrap_or_default(),
-        tenant: text("t"),
-        wait_ms,
-        group: value("g").map_or(0, |(text, _)| hex_or_name(text)),
-        retry: value("r").is_some_and(|(text, _)| text == "1"),
-        at: text("at"),
-    })
+        match *name {
+            "c" => class = Some((*text).to_owned()),
+            "d" => wait = Some((whole(text)?, span.clone())),
+            "g" => opening.group = hex.parse(LocatingSlice::new(text.as_bytes())).ok()?,
+            "t" => opening.tenant = Some((*text).to_owned()),
+            "at" => opening.at = Some((*text).to_owned()),
+            "r" => opening.retry = flag(text)?,
+            "again" => _ = flag(text)?,
+            // A figure that only the form host uses.
+            _ => _ = float::<_, f64, ContextError>.parse(text.as_bytes()).ok().filter(|x| x.is_finite())?,
+        }
+    }
+    opening.class = class?;
+    (opening.wait_ms, opening.wait_at) = wait?;
+    Some(opening)
+}
+
+fn whole(text: &str) -> Option<f64> {
+    dec_uint::<_, u32, ContextError>.parse(text.as_bytes()).ok().map(f64::from)
+}
+
+fn flag(text: &str) -> Option<bool> {
+    match text {
+        "0" => Some(false),
+        "1" => Some(true),
+        _ => None,
+    }
 }
 
 #[cfg(test)]
@@ -201,9 +214,9 @@
     #[test]
     fn an_opening_is_read_and_goes_on_with_only_its_wait_changed() {
         let opening = open(LINE).expect("it is well formed");
-        assert_eq!((opening.id.as_str(), opening.key), ("9b1f03aa5c7e2d41", 0x7f3a_9c21_e0b4_d655));
+        assert_eq!((opening.id, opening.key), (0x9b1f_03aa_5c7e_2d41, 0x7f3a_9c21_e0b4_d655));
         assert_eq!((opening.class.as_str(), opening.group), ("chat", 0x5c0f_6e1a_2b3d_4c59));
-        assert_eq!((opening.wait_ms, opening.retry, &opening.at), (Some(2000.0), true, &None));
+        assert_eq!((opening.wait_ms, opening.retry, &opening.at), (2000.0, true, &None));
         let line = String::from_utf8(opening.for_host(981.7)).expect("it is text");
         assert_eq!(line, String::from_utf8_lossy(LINE).replace("d=2000", "d=981"));
     }
@@ -213,18 +226,31 @@
         for end in 0..LINE.len() {
             assert_eq!(hello(&LINE[..end]), None, "the first {end} bytes");
         }
-        let long = [b"OPEN a b c=".as_slice(), &vec![b'x'; 100_000], b"\r\n"].concat();
+        let long = [b"OPEN a b d=1,c=".as_slice(), &vec![b'x'; 100_000], b"\r\n"].concat();
         assert!(open(&long).is_some(), "the reader bounds lines, not the parser");
         for line in [
             &b"\r\n"[..],
             b"OPEN\r\n",
             b"OPEN a\r\n",
             b"OPEN a b c\r\n",
-            b"OPEN a b d=x\r\n",
-            b"OPEN a b d=-1\r\n",
-            b"OPEN a b d=99999999999999999999\r\n",
-            b"open a b c=x\r\n",
-            b"OPEN a b c=x\r\nPING\r\n",
+            b"OPEN a b c=x\r\n",
+            b"OPEN a b d=1\r\n",
+            b"OPEN a b c=x,d=x\r\n",
+            b"OPEN a b c=x,d=-1\r\n",
+            b"OPEN a b c=x,d=1e3\r\n",
+            b"OPEN a b c=x,d=99999999999999999999\r\n",
+            b"OPEN a b c=x,d=1,d=2\r\n",
+            b"OPEN a b c=x,d=1,g=y\r\n",
+            b"OPEN a b c=x,d=1,r=yes\r\n",
+            b"OPEN a b c=x,d=1,h=nan\r\n",
+            b"OPEN a b c=x,d=1,\r\n",
+            b"OPEN a b c=,d=1\r\n",
+            b"OPEN  b c=x,d=1\r\n",
+            b"OPEN +a b c=x,d=1\r\n",
+            b"OPEN 0123456789abcdef0 b c=x,d=1\r\n",
+            b"OPEN a b c=x,d=1\n",
+            b"open a b c=x,d=1\r\n",
+            b"OPEN a b c=x,d=1\r\nPING\r\n",
             b"PING \r\n",
             b"\xff\xfe\x00\r\n",
             b"GET / HTTP/1.1\r\n",
--- a/node/src/pump.rs
+++ b/node/src/pump.rs
@@ -3,6 +3,7 @@
 use crate::ring::{End, Ring};
 use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -68,6 +69,35 @@
     Ok(())
 }
 
+/// Drops up to `most` bytes that have come, without copying them; false at the sender's end.
+///
+/// # Errors
+/// Fails if the connection is broken.
+pub async fn discard(stream: &TcpStream, most: usize) -> io::Result<bool> {
+    loop {
+        stream.readable().await?;
+        let mut left = most;
+        let dropped = stream.try_io(tokio::io::Interest::READABLE, || {
+            while left > 0 {
+                let mut unread = [MaybeUninit::uninit(); 32 * 1024];
+                let piece = left.min(unread.len());
+                // Truncating, TCP lets go of the bytes and leaves the buffer alone.
+                match SockRef::from(stream).recv_with_flags(&mut unread[..piece], libc::MSG_TRUNC)? {
+                    0 => return Ok(false),
+                    n => left -= n,
+                }
+            }
+            Ok(true)
+        });
+        match dropped {
+            // What has come is dropped; the end, if there is one, is seen next time.
+            Err(e) if again(&e) && left < most => return Ok(true),
+            Err(e) if again(&e) => {}
+            done => return done,
+        }
+    }
+}
+
 /// Has the socket reset when it is closed.
 pub fn reset(stream: &TcpStream) {
     // It may be broken already, which is as good.
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -254,24 +254,102 @@
 }
 
 #[test]
-fn malformed_overlong_and_silent_clients_cost_only_themselves() {
+fn what_no_form_host_could_use_gets_an_error_and_reaches_none() {
     let host = Host::new("s-1");
     let node = Node::start(&[&host], SOCKETS);
-    let _silent = node.connect();
-    for bad in ["GET / HTTP/1.1\r\n", "OPEN 1f\r\n", "\r\n", &"x".repeat(5_000)] {
+    let sound = "OPEN aa 2f c=chat,d=2000,g=3f\r\n";
+    for bad in [
+        "GET / HTTP/1.1\r\n",
+        "OPEN 1f\r\n",
+        "\r\n",
+        "OPEN  2f c=chat,d=2000,g=3f\r\n",
+        "OPEN aa 2f c=nosuch,d=2000,g=3f\r\n",
+        "OPEN aa 2f c=chat,d=soon,g=3f\r\n",
+        "OPEN aa 2f c=chat,g=3f\r\n",
+        "OPEN aa 2f c=chat,d=2000,at=s-9,g=3f\r\nM\r\n",
+        &sound.repeat(300),
+        &"PING\r\n".repeat(300),
+        &"x".repeat(5_000),
+        // Much more than a socket holds: the answer must outlive what was never read.
+        &"x".repeat(20_000_000),
+    ] {
         let mut client = node.connect();
         client.send(bad);
-        assert_eq!(client.rest(), ["ERR", "(end)"], "{:.20}", bad);
+        let mut answer = client.rest();
+        answer.retain(|line| line != "PONG");
+        assert_eq!(answer, ["ERR", "(end)"], "{bad:.30}");
     }
-    drop(node.connect());
+    host.listener.set_nonblocking(true).expect("it listens");
+    assert!(host.listener.accept().is_err(), "it was sent something");
     let mut client = node.connect();
     client.send("PING\r\nPING\r\n");
     assert_eq!([client.line(), client.line()], ["PONG", "PONG"]);
 }
 
+#[test]
+fn the_id_of_an_open_request_serves_nobody_else() {
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], SOCKETS);
+    let mut client = node.open("d=2000");
+    let mut server = host.accept();
+    assert!(server.line().starts_with("OPEN 1f "));
+    for standing in [false, true] {
+        let mut foreign = node.connect();
+        foreign.send("OPEN 1F 77 c=chat,d=2000,g=1\r\n");
+        assert_eq!(foreign.rest(), ["ERR", "(end)"], "standing: {standing}");
+        if !standing {
+            server.send("UP 1\r\n");
+            assert_eq!(client.line(), "UP 1");
+        }
+    }
+    client.send("mine\r\n");
+    assert_eq!(server.line(), "mine");
+    // Who sends before its answer is no client of the protocol either.
+    let mut hasty = node.open("d=2000");
+    let mut server = host.accept();
+    server.line();
+    hasty.send("too soon\r\n");
+    assert_eq!(hasty.rest(), ["ERR", "(end)"]);
+    assert!(server.line().starts_with('('));
+}
+
+#[test]
+fn who_asks_for_nothing_is_turned_away_in_time_however_slowly_it_sends() {
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], SOCKETS);
+    let connected = Instant::now();
+    let (mut mute, mut drip) = (node.connect(), node.connect());
+    // A line or two a second never ends, and each is sound by itself.
+    while drip.peek(Duration::from_millis(400)).is_none_or(|first| first == b'P') {
+        drip.send("PING\r\n");
+        assert_eq!(drip.line(), "PONG");
+    }
+    assert_eq!(drip.rest(), ["ERR", "(end)"]);
+    assert_eq!(mute.rest(), ["ERR", "(end)"]);
+    assert!(connected.elapsed() < Duration::from_secs(3), "{:?}", connected.elapsed());
+}
+
+#[test]
+fn hundreds_that_say_nothing_take_neither_place_nor_time_from_those_that_do() {
+    // 24 are kept for the program, and 10 are for openings.
+    let host = Host::new("s-1");
+    let node = Node::start(&[&host], 64);
+    let mute: Vec<_> = (0..300).map(|_| node.connect()).collect();
+    let asked = Instant::now();
+    let mut client = node.open("d=2000");
+    let mut server = host.accept();
+    server.line();
+    server.send("UP 1\r\n");
+    assert_eq!(client.line(), "UP 1");
+    assert!(asked.elapsed() < Duration::from_secs(1), "{:?}", asked.elapsed());
+    for mut peer in mute {
+        assert_eq!(peer.rest(), ["ERR", "(end)"]);
+    }
+}
+
 #[test]
 fn out_of_descriptors_clients_are_refused_and_served_again_once_some_are_free() {
-    // 24 are kept for the program and 4 to refuse with, which leaves 12.
+    // 24 are kept for the program and 4 for openings, which leaves 12.
     let host = Host::new("s-1");
     let node = Node::start(&[&host], 40);
     let mut held = Vec::new();
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -129,6 +129,7 @@
     log: BufReader<std::process::ChildStderr>,
     pub discovery: TcpListener,
     config: std::path::PathBuf,
+    opened: std::cell::Cell<u32>,
 }
 
 impl Node {
@@ -158,7 +159,7 @@
             .spawn()
             .expect("the balancer starts");
         let log = BufReader::new(child.stderr.take().expect("it is piped"));
-        let mut node = Self { child, listen, log, discovery, config: path };
+        let mut node = Self { child, listen, log, discovery, config: path, opened: 0.into() };
         node.logged("listening");
         node
     }
@@ -181,10 +182,11 @@
         Peer::new(TcpStream::connect(self.listen).expect("the balancer listens"))
     }
 
-    /// A client that has asked for a connection.
+    /// A client that has asked for a connection; the first one's id is 1f.
     pub fn open(&self, rest: &str) -> Peer {
         let mut client = self.connect();
-        client.send(&format!("OPEN 1f 2f c=chat,{rest},g=3f\r\n"));
+        let id = 0x1f + self.opened.replace(self.opened.get() + 1);
+        client.send(&format!("OPEN {id:x} 2f c=chat,{rest},g=3f\r\n"));
         client
     }
 
