Blame a server for an error only once the request's next attempt tells whose it was

Lines at fault: decide.rs, on_ended: on_failure and `failed` for each attempt, without asking whether the request or the server erred. Ruled out: a check before sending; nothing in the line tells whose id it is. Now errors and breaks before UP wait for the outcome: another server's UP blames those before it; errors at three servers blame none and end the request.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -103,6 +103,8 @@
 /// A refused client is told to stay away for so many ms, give or take half, so that those refused
 /// together do not come again together: servers that are full, hot or out need about that long.
 const RETRY_AFTER_MS: Millis = 1_000.0;
+/// So many servers that answer a request with an error say that it is not theirs.
+const MOST_ERRORS: usize = 3;
 /// An attempt with less than this left, in ms, cannot succeed any more.
 const LEAST_LEFT_MS: Millis = 5.0;
 
@@ -201,6 +203,8 @@
     phase: Phase,
     /// Servers tried last, newest first.
     tried: [usize; 2],
+    /// Servers that have answered it with an error or a break.
+    erred: Vec<usize>,
     /// The server of the attempt out or the connection open.
     slot: usize,
     arrived: Millis,
@@ -995,6 +999,7 @@
             mid_flow: new.mid_flow,
             phase: Phase::Held,
             tried: [NOWHERE; 2],
+            erred: Vec::new(),
             slot: NOWHERE,
             arrived: self.now,
             deadline: self.now + new.time_left_ms.max(0.0),
@@ -1028,6 +1033,7 @@
             mid_flow: new.mid_flow,
             phase: Phase::Open,
             tried: [NOWHERE; 2],
+            erred: Vec::new(),
             slot,
             arrived: self.now,
             deadline: f64::INFINITY,
@@ -1064,7 +1070,7 @@
     fn attempt(&mut self, id: RequestId, mut pending: Pending, out: &mut Vec<Action>) {
         let left = pending.deadline - self.now;
         let tries_left = self.settings.limits.max_attempts.saturating_sub(pending.attempts);
-        if left < LEAST_LEFT_MS || tries_left == 0 {
+        if left < LEAST_LEFT_MS || tries_left == 0 || pending.erred.len() >= MOST_ERRORS {
             self.answer(id, &pending, out);
             return;
         }
@@ -1121,6 +1127,7 @@
     /// The final answer when nothing more can be tried.
     fn answer(&mut self, id: RequestId, pending: &Pending, out: &mut Vec<Action>) {
         self.requests.remove(&id);
+        self.blame(&pending.erred, false);
         let harmless = match self.effect(pending.class) {
             Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. } => true,
             Effect::Keyed { .. } | Effect::Unsafe => pending.ran.is_none(),
@@ -1156,6 +1163,7 @@
             return;
         }
         pending.phase = Phase::Open;
+        let erred = std::mem::take(&mut pending.erred);
         let server = &mut self.servers[pending.slot];
         server.connections.push(id);
         server.load += pending.load;
@@ -1164,6 +1172,18 @@
         self.rate *= (-(self.now - self.rate_at) / RATE_TAU_MS).exp();
         self.rate += 1.0 / RATE_TAU_MS / self.warm_weight.max(f64::MIN_POSITIVE);
         self.rate_at = self.now;
+        self.blame(&erred, true);
+    }
+
+    /// Tells whose fault errors were, once that is known. A request that errs wherever it goes is
+    /// itself at fault: its servers must not be left out for it, and it counts as one failure.
+    fn blame(&mut self, erred: &[usize], stood: bool) {
+        if stood || erred.len() == 1 {
+            self.failed += erred.len() as f64;
+            erred.iter().for_each(|slot| self.on_failure(*slot));
+        } else if !erred.is_empty() {
+            self.failed += 1.0;
+        }
     }
 
     fn on_ended(
@@ -1184,12 +1204,18 @@
         self.add_open(slot, -1);
         match outcome {
             Outcome::Ok | Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::Error | Outcome::Reset if pending.phase == Phase::Trying => {
+                if !pending.erred.contains(&slot) {
+                    pending.erred.push(slot);
+                }
+            }
             Outcome::Error | Outcome::Full | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
                 self.failed += f64::from(u8::from(pending.phase == Phase::Trying));
                 self.on_failure(slot);
             }
         }
         if closed || pending.phase == Phase::Over {
+            self.blame(&pending.erred, false);
             return;
         }
         if !outcome.never_ran() && pending.ran.is_none() {
@@ -1208,7 +1234,9 @@
         let Some(pending) = self.requests.get_mut(&id) else { return };
         match pending.phase {
             Phase::Held => {
+                let erred = std::mem::take(&mut pending.erred);
                 self.requests.remove(&id);
+                self.blame(&erred, false);
             }
             Phase::Trying | Phase::Open => {
                 // Work for a client that has left serves nobody.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -479,3 +479,32 @@
         assert_eq!(sent(&actions).is_some(), load < 0.5, "{load}: {actions:?}");
     }
 }
+
+#[test]
+fn a_request_that_errs_wherever_it_goes_is_at_fault_and_not_its_servers() {
+    // One that another node's client has made up, say: ten of them left out half of the servers, and
+    // the throttle refused the clients of the others.
+    let mut node = Node::new(settings(), entries(6));
+    for _ in 0..4 {
+        let (request, mut actions) = node.ask(2_000.0);
+        let mut attempts = 0;
+        while sent(&actions).is_some() {
+            actions = node.end(request, attempts, Outcome::Error, false);
+            attempts += 1;
+        }
+        assert_eq!((attempts, answered(&actions)), (3, 1));
+        node.now += 100.0;
+    }
+    assert_eq!(node.shares(60).len(), 6);
+}
+
+#[test]
+fn a_server_that_errs_where_another_serves_is_left_out() {
+    let mut node = Node::new(settings(), entries(6));
+    let (request, actions) = node.ask(2_000.0);
+    let bad = sent(&actions).expect("a server for the request");
+    let actions = node.end(request, 0, Outcome::Error, false);
+    assert_ne!(sent(&actions), Some(bad));
+    node.on(Event::Established { request, attempt: AttemptNo(1), latency_ms: 1.0 });
+    assert_eq!(node.shares(60).get(&bad), None);
+}
