Move clients evenly from 1.2 to 2.6 s after SIGTERM, and refuse who still waits then

Lines at fault: shutdown.rs, SERVE_ON_MS 500 and one move_all. Also: a request still waiting at the exit was cut off with no answer; it is refused. Exit is at most 3.0 s after SIGTERM; SIGKILL comes after 3.7 s.

--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -318,16 +318,27 @@
         }
     }
 
-    /// Moves every connection that stands.
-    pub fn move_all(&self) {
-        let standing = |e: &Entry| matches!(e.phase, Phase::Standing);
-        let ids: Vec<_> =
-            self.entries.borrow().iter().filter(|(_, e)| standing(e)).map(|(id, _)| *id).collect();
-        for id in ids {
+    /// Moves this share of the connections that stand, at least one if there are any, oldest first.
+    pub fn move_share(&self, share: f64) {
+        let standing = self.ids(|e| matches!(e.phase, Phase::Standing));
+        let count = (standing.len() as f64 * share).ceil() as usize;
+        for id in standing.into_iter().take(count) {
             self.move_client(id);
         }
     }
 
+    /// Refuses every request that still waits.
+    pub fn refuse_all(&self) {
+        for id in self.ids(|e| matches!(e.phase, Phase::Waiting)) {
+            self.refuse(id, 0.0);
+            self.core.feed(Event::ClientGone(id));
+        }
+    }
+
+    fn ids(&self, wanted: impl Fn(&Entry) -> bool) -> Vec<RequestId> {
+        self.entries.borrow().iter().filter(|(_, e)| wanted(e)).map(|(id, _)| *id).collect()
+    }
+
     /// Requests that are not over yet.
     pub fn len(&self) -> usize {
         self.entries.borrow().len()
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -4,11 +4,15 @@
 use crate::exchange::Exchange;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// The front sends newcomers for up to 0.4 s more; they are served as before.
-const SERVE_ON_MS: Millis = 500.0;
+/// The front sends newcomers for up to 0.4 s more; they are served as before. Connections stand as
+/// well until then: balancers are restarted one after another, and who is moved at once may find the
+/// one before still down, and all that are moved at once come to the others at once.
+const SERVE_ON_MS: Millis = 1_200.0;
+/// Connections are moved evenly over this time, so that they come again evenly.
+const MOVE_OVER_MS: Millis = 1_400.0;
 /// SIGKILL comes 3.7 s after SIGTERM at the earliest; what is not over by then would be lost.
-const LEAVE_AFTER_MS: Millis = 2_800.0;
-/// How often connections that have come up meanwhile are moved.
+const LEAVE_AFTER_MS: Millis = 3_000.0;
+/// How often some are moved.
 const AGAIN_MS: Millis = 50.0;
 
 /// Listens for SIGTERM from now on.
@@ -26,8 +30,14 @@
     tracing::info!(requests = exchange.len(), "SIGTERM: serving newcomers, then moving all");
     clock.sleep(SERVE_ON_MS).await;
     let moving = async {
+        let until = clock.now() + MOVE_OVER_MS;
         loop {
-            exchange.move_all();
+            let left = until - clock.now();
+            exchange.move_share(if left > AGAIN_MS { AGAIN_MS / left } else { 1.0 });
+            if left <= 0.0 {
+                // Whoever still waits is owed an answer, too.
+                exchange.refuse_all();
+            }
             clock.sleep(AGAIN_MS).await;
         }
     };
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -199,6 +199,7 @@
     server.line();
     server.send("UP 1\r\none\r\nhalf a li");
     assert_eq!([client.line(), client.line()], ["UP 1", "one"]);
+    let told = Instant::now();
     node.signal("TERM");
     node.logged("SIGTERM");
     let mut late = node.open("d=2000");
@@ -206,10 +207,15 @@
     late_server.line();
     late_server.send("UP 2\r\n");
     assert_eq!(late.line(), "UP 2");
+    let mut waiting = node.open("d=30000");
+    let _silent = host.accept();
     assert_eq!(client.rest(), ["MOVE", "(end)"]);
+    // The balancer restarted before may not be back yet: connections stand for a while.
+    assert!(told.elapsed() > Duration::from_secs(1), "{:?}", told.elapsed());
+    assert_eq!(waiting.rest(), ["BUSY", "(end)"]);
     assert_eq!(late.rest(), ["MOVE", "(end)"]);
     assert!(server.line().starts_with('('));
-    drop((client, late));
+    drop((client, late, waiting));
     assert!(node.ended().success());
 }
 
