Take back the limit of the node's connections by the reported mean load

Line at fault: decide.rs, review_fleet: limit = total * 0.65 / mean. The total is what is left after the moves, and the mean weighs small and large hosts alike, as the site tells no weights.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -71,9 +71,6 @@
 /// node takes on fewer connections in all, by so much of them each second.
 const FLEET_HOT: f64 = 0.25;
 const FLEET_SHED: f64 = 0.2;
-/// Where servers report their loads, the fleet is short when their mean is over this: the node is
-/// held to as many connections as would bring it back.
-const FLEET_LOAD: f64 = 0.65;
 /// Once it is no longer short, that grows by this share of what was held before, each second: from
 /// nothing it would never come back by a factor.
 const FLEET_GROW: f64 = 0.15;
@@ -935,13 +932,7 @@
         let hot = hot.sum::<usize>() as f64;
         let total = self.total as f64;
         self.peak = total.max(self.peak * (1.0 - seconds / 60.0).max(0.0));
-        // Reports tell of all servers, also of those on which this node holds little.
-        let loads = self.pickable.iter().chain(&self.ejected);
-        let loads = loads.map(|s| self.load_now(*s) * self.servers[*s].weight).sum::<f64>();
-        let mean = loads / self.ready_weight.max(f64::MIN_POSITIVE);
-        if mean > FLEET_LOAD {
-            self.limit = total * FLEET_LOAD / mean;
-        } else if hot > total * FLEET_HOT {
+        if hot > total * FLEET_HOT {
             self.limit = self.limit.min(total) * (1.0 - FLEET_SHED * hot / total * seconds.min(2.0));
         } else {
             self.limit +=
