--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1061,7 +1061,7 @@
     fn attempt(&mut self, id: RequestId, mut pending: Pending, out: &mut Vec<Action>) {
         let left = pending.deadline - self.now;
         let tries_left = self.settings.limits.max_attempts.saturating_sub(pending.attempts);
-        if left < LEAST_LEFT_MS || tries_left == 0 || pending.erred.len() >= MOST_ERRORS {
+        if left < LEAST_LEFT_MS || tries_left == 0 {
             self.answer(id, &pending, out);
             return;
         }
@@ -1218,6 +1218,11 @@
             out.push(Action::Fail(id));
             return;
         }
+        // A break says less: the network may cut off several attempts running.
+        if outcome == Outcome::Error && pending.erred.len() >= MOST_ERRORS {
+            self.answer(id, &pending, out);
+            return;
+        }
         self.attempt(id, pending, out);
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -495,6 +495,17 @@
     assert_eq!(node.shares(60).len(), 6);
 }
 
+#[test]
+fn a_request_whose_attempts_are_cut_off_is_tried_on() {
+    // Three resets within 13 ms refused a client whose fourth attempt would have stood.
+    let mut node = Node::new(settings(), entries(6));
+    let (request, _) = node.ask(2_000.0);
+    for attempt in 0..3 {
+        let actions = node.end(request, attempt, Outcome::Reset, false);
+        assert!(sent(&actions).is_some(), "{attempt}: {actions:?}");
+    }
+}
+
 #[test]
 fn a_server_that_errs_where_another_serves_is_left_out() {
     let mut node = Node::new(settings(), entries(6));
