Keep refused connections off the throttle and fill cold servers by what reports tell

Only half of the hosts may be out, so dead ones were picked again. Back from 13.7 s on, they stood at a load of 0.1 and got next to nothing until 22 s: the budget of a cold host followed the node's own set-ups, of which there were none (decide.rs, on_ended, eject, cold_allows).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -248,8 +248,9 @@
     limit: f64,
     reviewed_at: Millis,
     total: usize,
-    /// What servers were loaded with by reports, and the weights that this is the capacity of.
+    /// What servers were loaded with by reports, the connections they held, and the weights that this is the capacity of.
     learnt_load: f64,
+    learnt_held: f64,
     learnt_share: f64,
     /// The most connections held, fading over a minute.
     peak: f64,
@@ -293,6 +294,7 @@
             reviewed_at: now,
             total: 0,
             learnt_load: 0.0,
+            learnt_held: 0.0,
             learnt_share: 0.0,
             peak: 0.0,
             tick_at: f64::INFINITY,
@@ -698,7 +700,12 @@
         self.ejected.push(slot);
     }
 
-    fn on_failure(&mut self, slot: usize) {
+    fn most_ejected(&self) -> usize {
+        (self.ready as f64 * MAX_EJECTED) as usize
+    }
+
+    /// A server has failed: it is out for a while, unless as many are as `most`.
+    fn on_failure(&mut self, slot: usize, most: usize) {
         let server = &mut self.servers[slot];
         if self.now - server.failed_at < SAME_FAILURE_MS {
             return;
@@ -710,7 +717,7 @@
         let for_ms = EJECT_MS * f64::from(1u32 << server.failures.min(8));
         server.failures += 1;
         let spread = 0.75 + 0.5 * self.uniform();
-        self.eject(slot, for_ms.min(MAX_EJECT_MS) * spread, (self.ready as f64 * MAX_EJECTED) as usize);
+        self.eject(slot, for_ms.min(MAX_EJECT_MS) * spread, most);
     }
 
     /// A server on which messages are slow has more than it can do, be it slow, pausing or just
@@ -786,6 +793,7 @@
         let held = held.and_then(|at| report.get(at)).map_or(0.0, |x| f64::from(*x));
         let own = server.connections.len() as f64;
         if own > 0.0 && held >= own {
+            self.learnt_held = self.learnt_held * LEARN_KEEP + held;
             self.learnt_load = self.learnt_load * LEARN_KEEP + server.reported_own * held / own;
             self.learnt_share = self.learnt_share * LEARN_KEEP + load * server.weight;
         }
@@ -957,7 +965,10 @@
         let capacity = self.capacity(slot);
         let rules = &self.settings.rules;
         let rate = self.rate * (-(self.now - self.rate_at) / RATE_TAU_MS).exp();
-        let fair = rate * self.servers[slot].weight;
+        // Refused clients add nothing to the own rate, so what would fill the server in its time to
+        // warm up counts too, as far as reports have told that; all nodes together send that much.
+        let fill = self.learnt_held / self.learnt_share.max(f64::MIN_POSITIVE) / rules.warm_after_ms.max(1.0);
+        let fair = rate.max(fill / f64::from(self.settings.nodes.max(1))) * self.servers[slot].weight;
         let allowed = rules.tip_multiple * COLD_MARGIN * capacity * fair;
         let server = &mut self.servers[slot];
         let grown = server.budget + allowed * (self.now - server.budget_at);
@@ -1171,7 +1182,7 @@
     fn blame(&mut self, erred: &[usize], stood: bool) {
         if stood || erred.len() == 1 {
             self.failed += erred.len() as f64;
-            erred.iter().for_each(|slot| self.on_failure(*slot));
+            erred.iter().for_each(|slot| self.on_failure(*slot, self.most_ejected()));
         } else if !erred.is_empty() {
             self.failed += 1.0;
         }
@@ -1200,9 +1211,11 @@
                     pending.erred.push(slot);
                 }
             }
-            Outcome::Error | Outcome::Full | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
+            // Nobody is there: that is no cause which servers share, and all but one may be out for it.
+            Outcome::ConnectFailed => self.on_failure(slot, self.ready.saturating_sub(1)),
+            Outcome::Error | Outcome::Full | Outcome::TimedOut | Outcome::Reset => {
                 self.failed += f64::from(u8::from(pending.phase == Phase::Trying));
-                self.on_failure(slot);
+                self.on_failure(slot, self.most_ejected());
             }
         }
         if closed || pending.phase == Phase::Over {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -516,3 +516,57 @@
     node.on(Event::Established { request, attempt: AttemptNo(1), latency_ms: 1.0 });
     assert_eq!(node.shares(60).get(&bad), None);
 }
+
+#[test]
+fn servers_that_refuse_connections_are_all_left_out_and_throttle_nobody() {
+    // Three of five were lost: the third was never left out, and its refusals fed the throttle.
+    let mut node = Node::new(settings(), entries(5));
+    let mut refused = 0;
+    for _ in 0..20 {
+        let (request, mut actions) = node.ask(2_000.0);
+        let mut attempt = 0;
+        while sent(&actions).is_some_and(|server| server.0 <= 3) {
+            refused += 1;
+            actions = node.end(request, attempt, Outcome::ConnectFailed, false);
+            attempt += 1;
+        }
+        assert_eq!(answered(&actions), 0, "{actions:?}");
+        node.end(request, attempt, Outcome::Ok, true);
+        node.now += 10.0;
+    }
+    assert!(refused <= 3, "{refused}");
+}
+
+#[test]
+fn a_restarted_server_takes_clients_though_the_node_has_set_up_none_for_long() {
+    // Its budget was guessed from the own set-ups alone, and a node that refuses all has none.
+    let mut settings = settings();
+    settings.limits.probe = true;
+    settings.report_fields = vec![ReportField::Utilization, ReportField::InFlight];
+    settings.rules = Rules {
+        cold_from: 0.35,
+        warm_after_ms: 9_000.0,
+        tip_multiple: 3.0,
+        overload_for_ms: 3_000.0,
+        ..settings.rules
+    };
+    let mut node = Node::new(settings, entries(4));
+    node.shares(40);
+    for server in 1..=4 {
+        report(&mut node, ServerId(server), 0.4);
+    }
+    probes(&mut node, 300);
+    let restarted = ServerEntry { started_at: node.now, ..entry(4, 1.0) };
+    node.list(ListKind::Delta, vec![restarted]);
+    let mut taken = 0;
+    for _ in 0..20 {
+        probes(&mut node, 1);
+        for server in 1..=3 {
+            report(&mut node, ServerId(server), 0.75);
+        }
+        let (_, actions) = node.ask(100.0);
+        taken += usize::from(sent(&actions) == Some(ServerId(4)));
+    }
+    // 20 connections at a load of 0.4 to 0.75: 27 to 50 fill it, in 9 s, and it starts at 0.35 of that.
+    assert!((3..=9).contains(&taken), "{taken}");
+}
