Move clients from 1.7 to 2.8 s after SIGTERM, when the balancer before is taken in

Line at fault: shutdown.rs, SERVE_ON_MS 1200. Ruled out: node 0 itself, it had no request before 18.1 s and no backlog. The exit comes 3.1 s after SIGTERM at the latest, SIGKILL at 3.7 s at the earliest.

--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -7,11 +7,11 @@
 /// The front sends newcomers for up to 0.4 s more; they are served as before. Connections stand as
 /// well until then: balancers are restarted one after another, and who is moved at once may find the
 /// one before still down, and all that are moved at once come to the others at once.
-const SERVE_ON_MS: Millis = 1_200.0;
+const SERVE_ON_MS: Millis = 1_700.0;
 /// Connections are moved evenly over this time, so that they come again evenly.
-const MOVE_OVER_MS: Millis = 1_400.0;
+const MOVE_OVER_MS: Millis = 1_100.0;
 /// SIGKILL comes 3.7 s after SIGTERM at the earliest; what is not over by then would be lost.
-const LEAVE_AFTER_MS: Millis = 3_000.0;
+const LEAVE_AFTER_MS: Millis = 3_100.0;
 /// How often some are moved.
 const AGAIN_MS: Millis = 50.0;
 
