--- a/src/decide.rs
+++ b/src/decide.rs
@@ -248,7 +248,8 @@
     limit: f64,
     reviewed_at: Millis,
     total: usize,
-    /// What servers were loaded with by reports, the connections they held, and the weights that this is the capacity of.
+    /// By reports: what servers were loaded with, the connections they held, and the weights that this
+    /// is the capacity of.
     learnt_load: f64,
     learnt_held: f64,
     learnt_share: f64,
