--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -119,21 +119,12 @@
         let request = self.request()?;
         let class = ClassId(self.u16("a class")?);
         let tenant = TenantId(self.u16("a tenant")?);
-        let key = self.u64("a key")?;
+        self.u64("a key")?;
         let time_left_ms = self.f64("a time budget")?;
         self.f64("a size hint")?;
-        let group = self.u64("a group")?;
+        self.u64("a group")?;
         let flags = self.u8("flags")?;
-        Ok(NewRequest {
-            request,
-            class,
-            tenant,
-            key,
-            group,
-            time_left_ms,
-            retry: flags & 2 != 0,
-            mid_flow: flags & 8 != 0,
-        })
+        Ok(NewRequest { request, class, tenant, time_left_ms, retry: flags & 2 != 0 })
     }
 
     fn outcome(&mut self) -> Result<Outcome, Malformed> {
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -247,11 +247,8 @@
             request: id,
             class: ClassId(class),
             tenant: TenantId(tenant),
-            key: opening.key,
-            group: opening.group,
             time_left_ms: wait_ms - (self.clock.now() - taken_at),
             retry: opening.retry,
-            mid_flow: false,
         };
         let entry = Entry {
             _id: id_in_use,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -101,9 +101,7 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 struct Specifics {
-    groups: bool,
     message_aim_ms: Vec<f64>,
-    mode: String,
 }
 
 /// What the settings say.
@@ -191,8 +189,6 @@
             cross_zone: boot.prices.cross_zone,
             late_fail: boot.prices.late_fail,
         },
-        groups: boot.specifics.groups,
-        pass_through: boot.specifics.mode == "pass",
     };
     let names = Names {
         classes: boot.classes.into_iter().map(|c| c.name).collect(),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,11 +18,6 @@
 const ZONE_CREDIT: f64 = 0.8;
 /// Rounds of draws when all that was drawn is unusable (just tried, or cold and out of budget).
 const ROUNDS: usize = 8;
-/// Places that draws for a group fall on, a count; a place may be empty, so many more than servers
-/// (grows for a fleet of over a quarter of it). All nodes need the same to draw alike.
-const PLACES: usize = 1_024;
-/// Different draws for groups, a count: enough that each server gets nearly its part of them.
-const GROUP_DRAWS: usize = 8_192;
 /// Housekeeping period in ms: well under the shortest ejection and any set-up aim.
 const TICK_MS: Millis = 200.0;
 /// First ejection in ms; doubled with each failure running, as a longer trouble is likelier then.
@@ -193,10 +188,6 @@
 #[derive(Debug)]
 struct Pending {
     class: ClassId,
-    /// What its draws are repeated for; 0 for fresh draws.
-    group: u64,
-    /// It flows already, so refusing it would break it and sparing its server would not relieve that.
-    mid_flow: bool,
     phase: Phase,
     /// Servers tried last, newest first.
     tried: [usize; 2],
@@ -231,10 +222,6 @@
     /// Weight of the ready servers, each as far as it is warm: what carries the load today.
     warm_weight: f64,
     draws: usize,
-    /// Where draws for a group fall: each ready server has one place, by its id alone.
-    places: Vec<usize>,
-    /// Group draws made since the places changed; `NOWHERE` for one not made yet.
-    drawn: Vec<usize>,
     requests: FxHashMap<RequestId, Pending>,
     held: Vec<RequestId>,
     /// Own set-ups a millisecond and unit of ready weight, as of `rate_at`.
@@ -282,8 +269,6 @@
             ready_open: 0.0,
             warm_weight: 0.0,
             draws: 2,
-            places: Vec::new(),
-            drawn: Vec::new(),
             requests: FxHashMap::default(),
             held: Vec::new(),
             rate: 0.0,
@@ -507,9 +492,6 @@
         }
         self.draws = draws_for(max, mean, min);
         self.weigh_warm();
-        if self.settings.groups || self.settings.pass_through {
-            self.lay_places();
-        }
     }
 
     /// Many servers that have just joined must not make those that carry the load look overfull.
@@ -518,27 +500,6 @@
         self.warm_weight = ready.map(|s| self.servers[*s].weight * self.capacity(*s)).sum();
     }
 
-    /// Gives each ready server one place. Ids decide, so nodes that know the same servers draw
-    /// the same, and a server that comes or goes changes hardly any draw but its own.
-    fn lay_places(&mut self) {
-        let mut order: Vec<(u64, usize)> = (self.pickable.iter().chain(&self.ejected))
-            .map(|slot| (mix(self.servers[*slot].id.0), *slot))
-            .collect();
-        order.sort_unstable();
-        let size = PLACES.max((order.len() * 4).next_power_of_two());
-        self.drawn.clear();
-        self.drawn.resize(GROUP_DRAWS, NOWHERE);
-        self.places.clear();
-        self.places.resize(size, NOWHERE);
-        for (hash, slot) in order {
-            let mut at = hash as usize % size;
-            while self.places[at] != NOWHERE {
-                at = (at + 1) % size;
-            }
-            self.places[at] = slot;
-        }
-    }
-
     // ---- Load counts and draws ------------------------------------------------------------------
 
     fn add_open(&mut self, slot: usize, by: i32) {
@@ -596,50 +557,21 @@
         u32::from(self.servers[slot].zone != self.settings.zone)
     }
 
-    /// Group draws: where connections of a group share work, or where another node must find a
-    /// connection's server again, the d uniform draws are repeated for all of a group. Else each
-    /// group would be paid for on every server, which at size costs more than its connections.
-    fn draw_group(&self, new: &NewRequest) -> u64 {
-        match (self.settings.groups, self.settings.pass_through) {
-            (true, _) if new.group != 0 => new.group,
-            (_, true) => new.key,
-            _ => 0,
-        }
-    }
-
-    /// The nth draw of a group: uniform over the places that a server has, the same each time.
-    fn group_draw(&mut self, group: u64, nth: usize) -> Option<usize> {
-        let draw = mix(group ^ mix(nth as u64 + 1)) as usize % GROUP_DRAWS;
-        if self.pickable.is_empty() {
-            return None;
-        }
-        let mut probe = draw as u64;
-        while self.drawn[draw] == NOWHERE {
-            self.drawn[draw] = self.places[mix(probe) as usize % self.places.len()];
-            probe += GROUP_DRAWS as u64;
-        }
-        Some(self.drawn[draw])
-    }
-
     /// The pick among d uniform draws, in a few rounds if nothing drawn may be used.
     fn pick(&mut self, pending: &Pending) -> Option<usize> {
         let mut tried_too = false;
-        // Two draws seldom meet the own zone where there are many: one more for each other zone, but
-        // not for a group, which each draw more would spread over one server more.
-        let prefers = pending.group == 0 && self.settings.prices.cross_zone > 0.0;
+        // Two draws seldom meet the own zone where there are many: one more for each other zone.
+        let prefers = self.settings.prices.cross_zone > 0.0;
         let draws = self.draws + if prefers { usize::from(self.settings.zones.saturating_sub(1)) } else { 0 };
         for round in 0..ROUNDS {
             let mut best: Option<(f64, u32, usize)> = None;
             let mut same = 0;
-            for nth in 0..draws {
-                let slot = match pending.group {
-                    0 => self.draw()?,
-                    group => self.group_draw(group, round * draws + nth)?,
-                };
+            for _ in 0..draws {
+                let slot = self.draw()?;
                 if self.servers[slot].place == NOWHERE
                     || (!tried_too && pending.tried.contains(&slot))
                     || !self.may_run_on(pending, slot)
-                    || (!pending.mid_flow && self.full(slot))
+                    || self.full(slot)
                     || !self.cold_allows(slot)
                 {
                     continue;
@@ -998,8 +930,6 @@
         }
         let pending = Pending {
             class: new.class,
-            group: self.draw_group(new),
-            mid_flow: new.mid_flow,
             phase: Phase::Held,
             tried: [NOWHERE; 2],
             erred: Vec::new(),
@@ -1032,8 +962,6 @@
         };
         let pending = Pending {
             class: new.class,
-            group: self.draw_group(new),
-            mid_flow: new.mid_flow,
             phase: Phase::Open,
             tried: [NOWHERE; 2],
             erred: Vec::new(),
@@ -1077,7 +1005,7 @@
             self.answer(id, &pending, out);
             return;
         }
-        if !pending.mid_flow && (self.throttled() || self.fleet_full()) {
+        if self.throttled() || self.fleet_full() {
             self.answer(id, &pending, out);
             return;
         }
@@ -1260,11 +1188,3 @@
         }
     }
 }
-
-/// A well-mixed hash of 64 bits (the finalizer of SplitMix64), the same on every node.
-fn mix(x: u64) -> u64 {
-    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -211,10 +211,6 @@
     pub rules: Rules,
     /// Prices.
     pub prices: Prices,
-    /// Connections of one group share work on a server.
-    pub groups: bool,
-    /// Packets pass through this node: a connection may reach another node midway.
-    pub pass_through: bool,
 }
 
 /// Whether a listed server takes work.
@@ -268,16 +264,10 @@
     pub class: ClassId,
     /// Its tenant.
     pub tenant: TenantId,
-    /// What it is about; 0 for nothing.
-    pub key: u64,
-    /// The group of connections it shares work with; 0 for none.
-    pub group: u64,
     /// The client waits this much longer.
     pub time_left_ms: Millis,
     /// The client has tried before.
     pub retry: bool,
-    /// A connection that already flows and whose packets now come through this node.
-    pub mid_flow: bool,
 }
 
 /// How an attempt ended.
