--- /dev/null
+++ b/node/src/admin.rs
@@ -0,0 +1,128 @@
+//! The operators' door: takes their calls, one to a connection, and answers each at once.
+//!
+//! Its connections have places of their own, so that clients can't take them, and a call that is not
+//! made in full in time, or when its place is needed, is cut off.
+
+use crate::clock::{Clock, Millis};
+use crate::core::Core;
+use crate::descriptors::{Descriptors, Purpose};
+use crate::directory::Directory;
+use crate::places::{Place, Places};
+use crate::protocol::admin::{self, Answer, Asked};
+use crate::protocol::http::{self, Call, Read};
+use crate::protocol::line;
+use crate::pump;
+use marllink::{Event, ServerId};
+use socket2::SockRef;
+use std::cell::Cell;
+use std::net::Shutdown;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpStream};
+
+/// A call must have been made within this time.
+const CALL_MS: Millis = 2_500.0;
+/// An answer must have been taken, and the connection closed, within this time.
+const CLOSE_MS: Millis = 500.0;
+/// After a failed accept so long passes before the next.
+const PAUSE_MS: Millis = 10.0;
+/// What comes after a call is dropped in pieces of this size.
+const DROPPED: usize = 16 * 1024;
+
+/// The door.
+pub struct Admin {
+    core: Rc<Core>,
+    clock: Clock,
+    directory: Rc<Directory>,
+    /// This process takes clients.
+    serving: Rc<Cell<bool>>,
+    places: Rc<Places>,
+}
+
+impl Admin {
+    /// A door to these.
+    pub fn new(
+        core: Rc<Core>,
+        clock: Clock,
+        directory: Rc<Directory>,
+        serving: Rc<Cell<bool>>,
+        descriptors: Rc<Descriptors>,
+    ) -> Rc<Self> {
+        Rc::new(Self { core, clock, directory, serving, places: Places::new(descriptors, Purpose::Call) })
+    }
+
+    /// Takes calls for ever.
+    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let place = self.places.place().await;
+                    let admin = self.clone();
+                    tokio::task::spawn_local(async move { admin.serve(stream, place).await });
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "a call could not be accepted");
+                    self.clock.sleep(PAUSE_MS).await;
+                }
+            }
+        }
+    }
+
+    /// Serves one call to its end; the place is given back after the socket.
+    async fn serve(&self, stream: TcpStream, place: Place) {
+        let serving = async {
+            let answer = match self.clock.within(CALL_MS, called(&stream)).await {
+                Some(Some(Ok(call))) => self.answer(&call),
+                Some(Some(Err(answer))) => answer,
+                // Who has left is owed nothing.
+                Some(None) => return,
+                None => Answer::new(408, "no call in time"),
+            };
+            let closing = async {
+                pump::write_all(&stream, answer.written().as_bytes()).await.ok()?;
+                SockRef::from(&stream).shutdown(Shutdown::Write).ok()?;
+                // A close with input unread is a reset, which may overtake the answer.
+                while pump::discard(&stream, DROPPED).await.ok()? {}
+                Some(())
+            };
+            self.clock.within(CLOSE_MS, closing).await;
+        };
+        tokio::select! {
+            biased;
+            () = serving => {}
+            () = place.needed() => {}
+        }
+        drop(stream);
+    }
+
+    fn answer(&self, call: &Call) -> Answer {
+        match admin::asked(call) {
+            Ok(Asked::Health) if self.serving.get() => Answer::new(200, "taking clients"),
+            Ok(Asked::Health) => Answer::new(503, "taking no clients"),
+            Ok(Asked::Maintenance { uid, begins }) => {
+                let server = ServerId(line::number_of(uid));
+                if self.directory.address(server).is_none() {
+                    return Answer::new(404, "no such form host was ever listed");
+                }
+                tracing::info!("operators: {uid} is {}", if begins { "taken out" } else { "put back" });
+                self.core.feed(Event::Maintenance { server, begins });
+                Answer::new(200, if begins { "out" } else { "back" })
+            }
+            Err(answer) => answer,
+        }
+    }
+}
+
+/// Reads a call; `None` if the caller leaves before it is whole.
+async fn called(stream: &TcpStream) -> Option<Result<Call, Answer>> {
+    let mut raw = Vec::new();
+    loop {
+        match http::call(&raw) {
+            Read::Whole(call, _) => return Some(Ok(call)),
+            Read::Malformed => return Some(Err(Answer::new(400, "no call"))),
+            Read::Partial => {}
+        }
+        if !pump::read_more(stream, &mut raw).await.ok()? {
+            return None;
+        }
+    }
+}
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -2,18 +2,17 @@
 //! exchange. Knows nothing of form hosts.
 
 use crate::clock::{Clock, Millis};
-use crate::descriptors::{Descriptor, Descriptors};
+use crate::descriptors::{Descriptors, Purpose};
 use crate::exchange::{Exchange, Pipe, Ticket};
+use crate::places::{Place, Places};
 use crate::protocol::line::{self, Hello, LONGEST, Opening};
 use crate::pump;
 use crate::ring::End;
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::net::Shutdown;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
 
 /// A connection must have asked for something sound within this time of being accepted, however
 /// many lines it sends: a limit on each line could be drawn out for ever. Clients ask at once, and
@@ -49,73 +48,22 @@
     pub descriptors: Rc<Descriptors>,
     /// What a client is told that comes while all descriptors are in use; 0 for nothing.
     pub retry_after_ms: Millis,
-    /// Connections that have not asked for anything sound yet.
-    pub openings: Rc<Openings>,
-}
-
-/// Connections that have not asked for anything sound yet or are being turned away, oldest first.
-#[derive(Default)]
-pub struct Openings {
-    next: Cell<u64>,
-    leave: RefCell<BTreeMap<u64, Rc<Notify>>>,
-    left: Notify,
-    turned_away: Cell<usize>,
-}
-
-/// The place of one of them, given back when dropped.
-struct Place {
-    openings: Rc<Openings>,
-    number: u64,
-    /// Told when the place is needed for a newcomer.
-    leave: Rc<Notify>,
-    descriptor: Option<Descriptor>,
-}
-
-impl Openings {
-    /// A place for a connection just accepted. If all are taken the oldest must leave: clients ask
-    /// at once, so it is the least likely to be one.
-    async fn place(self: &Rc<Self>, descriptors: &Rc<Descriptors>) -> Place {
-        let descriptor = loop {
-            if let Some(descriptor) = descriptors.take_for_opening() {
-                break descriptor;
-            }
-            let left = self.left.notified();
-            if let Some((_, oldest)) = self.leave.borrow_mut().pop_first() {
-                oldest.notify_one();
-            }
-            left.await;
-        };
-        let number = self.next.replace(self.next.get() + 1);
-        let leave = Rc::new(Notify::new());
-        self.leave.borrow_mut().insert(number, leave.clone());
-        Place { openings: self.clone(), number, leave, descriptor: Some(descriptor) }
-    }
-}
-
-impl Place {
-    /// Gives the place back.
-    fn release(&mut self) {
-        if self.descriptor.take().is_some() {
-            self.openings.leave.borrow_mut().remove(&self.number);
-            self.openings.left.notify_one();
-        }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.release();
-    }
+    /// Of connections that have not asked for anything sound yet or are being turned away.
+    pub openings: Rc<Places>,
+    /// True while clients are accepted.
+    pub serving: Rc<Cell<bool>>,
+    /// How many have been turned away since that was last told.
+    pub turned_away: Cell<usize>,
 }
 
 impl Clients {
     /// Accepts connections for ever.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        self.serving.set(true);
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    // Takes at most as long as another connection needs to close.
-                    let place = self.openings.place(&self.descriptors).await;
+                    let place = self.openings.place().await;
                     let clients = self.clone();
                     tokio::task::spawn_local(async move { clients.serve(stream, place).await });
                 }
@@ -132,7 +80,7 @@
     pub async fn tell(&self) {
         loop {
             self.clock.sleep(TELL_MS).await;
-            let count = self.openings.turned_away.take();
+            let count = self.turned_away.take();
             if count > 0 {
                 tracing::info!("{count} connections that asked for nothing sound were turned away");
             }
@@ -145,13 +93,13 @@
         let _ = stream.set_nodelay(true);
         let until = self.clock.now() + OPENING_MS;
         let pipe = Pipe::new();
-        let leave = place.leave.clone();
+        let needed = place.needed();
         let opening = async {
             let asked = self.clock.within(OPENING_MS, self.asked(&stream, &pipe)).await;
             let wrong = match asked {
                 Some(Ok(opening)) => {
                     let left = until - self.clock.now();
-                    let descriptor = self.descriptors.take();
+                    let descriptor = self.descriptors.take(Purpose::Served);
                     if descriptor.is_some() && opening.at.is_some() {
                         // What was open before may have to wait, and must not leave for that.
                         place.release();
@@ -172,14 +120,14 @@
                 None => "no request in time",
             };
             tracing::debug!("a client is turned away: {wrong}");
-            self.openings.turned_away.set(self.openings.turned_away.get() + 1);
+            self.turned_away.set(self.turned_away.get() + 1);
             self.turn_away(&stream, "ERR\r\n", until).await;
             None
         };
         let taken = tokio::select! {
             biased;
             taken = opening => taken,
-            () = leave.notified() => {
+            () = needed => {
                 // There is no time to wait for anything; a line this short fits in any socket.
                 let _ = stream.try_write(b"ERR\r\n");
                 None
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,5 +1,5 @@
 //! What the balancer is told: the file that `NODE_CONFIG` names, and the variables `NODE_NAME`,
-//! `NODE_LISTEN` and `NODE_DISCOVERY`, which come before what the file says at the start.
+//! `NODE_LISTEN`, `NODE_DISCOVERY` and `NODE_ADMIN`, which come before what the file says at the start.
 //!
 //! The file may be read again while the balancer runs. A variable can't be changed from outside by
 //! then, so what the file says of discovery comes first.
@@ -18,6 +18,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -33,6 +35,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    admin: Option<String>,
     seed: String,
     limits: FileLimits,
     known: Option<List>,
@@ -72,6 +75,7 @@
         let differs = [
             ("name", self.name != running.name),
             ("listen", self.listen != running.listen),
+            ("admin", self.admin != running.admin),
             ("seed", self.seed != running.seed),
             ("limits", self.sockets != running.sockets),
             ("settings", self.settings != running.settings),
@@ -93,14 +97,16 @@
             if file_first && key == "discovery" { (value, variable(name)) } else { (variable(name), value) };
         first.or(second).ok_or(format!("neither {name} is set nor \"{key}\" in {path}"))
     };
-    let address = |name: &str, key: &str, value: Option<String>| {
-        let text = told(name, key, value)?;
+    let parsed = |name: &str, text: String| {
         text.parse().map_err(|_| format!("{name}: \"{text}\" is no address with a port"))
     };
+    let address = |name: &str, key: &str, value| parsed(name, told(name, key, value)?);
+    let admin = variable("NODE_ADMIN").or(file.admin);
     Ok(Config {
         name: told("NODE_NAME", "name", file.name)?,
         listen: address("NODE_LISTEN", "listen", file.listen)?,
         discovery: address("NODE_DISCOVERY", "discovery", file.discovery)?,
+        admin: admin.map(|text| parsed("NODE_ADMIN", text)).transpose()?,
         seed: u64::from_str_radix(&file.seed, 16)
             .map_err(|_| format!("{path}: seed: \"{}\" is no hexadecimal number of 64 bits", file.seed))?,
         sockets: file.limits.sockets,
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -124,7 +124,11 @@
                     }
                     Read::Whole(head, _) => return Err(format!("status {}", head.status)),
                     Read::Malformed => return Err("no HTTP".into()),
-                    Read::Partial if !read_more(&stream, &mut raw).await? => return Err("cut off".into()),
+                    Read::Partial
+                        if !pump::read_more(&stream, &mut raw).await.map_err(|e| e.to_string())? =>
+                    {
+                        return Err("cut off".into());
+                    }
                     Read::Partial => {}
                 }
             }
@@ -231,7 +235,7 @@
             } else if self.head.length.is_some_and(|length| self.text.len() >= length) {
                 return Ok(false);
             }
-            if !read_more(&self.stream, &mut self.raw).await? {
+            if !pump::read_more(&self.stream, &mut self.raw).await.map_err(|e| e.to_string())? {
                 // Only a body of neither chunks nor a length ends with its connection.
                 let whole = !self.head.chunked && self.head.length.is_none();
                 return if whole { Ok(false) } else { Err("cut off".into()) };
@@ -248,17 +252,3 @@
         Ok(())
     }
 }
-
-/// Reads what there is; false at the end of the connection.
-async fn read_more(stream: &TcpStream, to: &mut Vec<u8>) -> Result<bool, String> {
-    loop {
-        stream.readable().await.map_err(|e| e.to_string())?;
-        let before = to.len();
-        to.reserve(4_096);
-        match stream.try_read_buf(to) {
-            Ok(_) => return Ok(to.len() > before),
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e.to_string()),
-        }
-    }
-}
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -8,7 +8,7 @@
 use crate::clock::{Clock, Millis};
 use crate::core::{Core, Requests};
 use crate::delay::{Delays, Waiting};
-use crate::descriptors::{Descriptor, Descriptors};
+use crate::descriptors::{Descriptor, Descriptors, Purpose};
 use crate::directory::Directory;
 use crate::protocol::line::{self, Opening};
 use crate::protocol::report::{self, Report};
@@ -435,7 +435,9 @@
         let allowed = matches!(entry.phase, Phase::Waiting)
             && entry.attempts <= self.settings.decisions.limits.max_attempts.max(1);
         let way = self.directory.address(server).filter(|_| allowed);
-        let Some((address, descriptor)) = way.and_then(|a| Some((a, self.descriptors.take()?))) else {
+        let Some((address, descriptor)) =
+            way.and_then(|a| Some((a, self.descriptors.take(Purpose::Served)?)))
+        else {
             let closed = matches!(entry.phase, Phase::Over);
             drop(entries);
             let outcome = Outcome::NotSent;
@@ -490,7 +492,9 @@
     fn probe(&self, server: ServerId) {
         let result = ProbeResult { exchange: self.me.clone(), server, ok: false, report: Vec::new() };
         let way = self.directory.address(server);
-        if let Some((address, descriptor)) = way.and_then(|a| Some((a, self.descriptors.take()?))) {
+        if let Some((address, descriptor)) =
+            way.and_then(|a| Some((a, self.descriptors.take(Purpose::Served)?)))
+        {
             let _ = self.orders.send(Order::Probe(Probe { address, result, descriptor }));
         }
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,5 +1,6 @@
 //! The real balancer: marllink's decisions on real sockets. No decision is made here.
 
+mod admin;
 mod client;
 mod clock;
 mod config;
@@ -9,6 +10,7 @@
 mod directory;
 mod discovery;
 mod exchange;
+mod places;
 mod protocol;
 mod pump;
 mod reload;
@@ -18,6 +20,7 @@
 
 use clock::Clock;
 use config::Config;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -57,8 +60,7 @@
 async fn run(config: Config) -> std::io::Result<()> {
     let term = shutdown::listen()?;
     let hangup = reload::listen()?;
-    let listener = listen(config.listen)
-        .map_err(|e| std::io::Error::new(e.kind(), format!("cannot listen on {}: {e}", config.listen)))?;
+    let listener = listen(config.listen)?;
     let clock = Clock::of_machine();
     let decisions = config.settings.decisions.clone();
     let names = config.settings.names.clone();
@@ -76,7 +78,7 @@
     let exchange = exchange::Exchange::new(
         core.clone(),
         clock.clone(),
-        directory,
+        directory.clone(),
         descriptors.clone(),
         config.settings.clone(),
         orders,
@@ -91,12 +93,20 @@
     };
     tokio::task::spawn_local(servers.run(to_servers));
     discovery.start_from(&config.known);
+    let serving = Rc::new(Cell::new(false));
+    if let Some(address) = config.admin {
+        let (clock, directory, descriptors) = (clock.clone(), directory, descriptors.clone());
+        let door = admin::Admin::new(core.clone(), clock, directory, serving.clone(), descriptors);
+        tokio::task::spawn_local(door.listen(listen(address)?));
+    }
     let clients = Rc::new(client::Clients {
         exchange: exchange.clone(),
         clock: clock.clone(),
+        openings: places::Places::new(descriptors.clone(), descriptors::Purpose::Opening),
         descriptors,
         retry_after_ms: if decisions.limits.retry_after { decisions.limits.max_retry_after_ms } else { 0.0 },
-        openings: Rc::default(),
+        serving,
+        turned_away: Cell::default(),
     });
     tracing::info!(
         "{}: listening on {}, {} form hosts known",
@@ -118,6 +128,6 @@
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A balancer starts again under its address at once.
     socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+    let listening = socket.bind(address).and_then(|()| socket.listen(BACKLOG));
+    listening.map_err(|e| std::io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
 }
--- a/node/src/protocol/http.rs
+++ b/node/src/protocol/http.rs
@@ -1,4 +1,5 @@
-//! As much of HTTP/1.1 as discovery's answers need: the head, and a body in chunks.
+//! As much of HTTP/1.1 as is needed: the head of discovery's answers and their body in chunks, and the
+//! head of an operator's call.
 
 use winnow::ascii::{dec_uint, hex_uint};
 use winnow::combinator::{delimited, preceded, repeat, terminated};
@@ -32,7 +33,7 @@
     Whole(T, usize),
     /// More bytes are needed.
     Partial,
-    /// This is not HTTP as discovery speaks it.
+    /// This is not HTTP as its peers speak it.
     Malformed,
 }
 
@@ -41,6 +42,20 @@
     read(buffer, answer_head, LONGEST_HEAD)
 }
 
+/// The head of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// In capitals, as it came.
+    pub method: String,
+    /// What is called.
+    pub target: String,
+}
+
+/// Reads the head of a call. Nothing that can be called takes a body.
+pub fn call(buffer: &[u8]) -> Read<Call> {
+    read(buffer, call_head, LONGEST_HEAD)
+}
+
 /// Reads a chunk; an empty one is the last.
 pub fn chunk(buffer: &[u8]) -> Read<&[u8]> {
     read(buffer, one_chunk, LONGEST_CHUNK + LONGEST_HEAD)
@@ -60,6 +75,18 @@
     }
 }
 
+fn call_head(input: &mut Bytes<'_>) -> ModalResult<Call> {
+    let method = terminated(take_while(1.., |b: u8| b.is_ascii_uppercase()), b' ');
+    let method = method.try_map(std::str::from_utf8).parse_next(input)?.to_owned();
+    let target = terminated(take_while(1.., |b: u8| b.is_ascii_graphic()), b' ');
+    let target = target.try_map(std::str::from_utf8).parse_next(input)?.to_owned();
+    (literal("HTTP/1."), take_while(1..=1, |b: u8| b.is_ascii_digit())).void().parse_next(input)?;
+    literal("\r\n").void().parse_next(input)?;
+    repeat(0.., field.void()).map(|()| ()).parse_next(input)?;
+    literal("\r\n").void().parse_next(input)?;
+    Ok(Call { method, target })
+}
+
 fn answer_head(input: &mut Bytes<'_>) -> ModalResult<Head> {
     let version = (literal("HTTP/1."), take(1usize), b' ');
     let status = preceded(version, dec_uint::<_, u16, _>).parse_next(input)?;
@@ -111,6 +138,19 @@
         assert_eq!(head(plain), Read::Whole(whole, plain.len()));
     }
 
+    #[test]
+    fn a_call_is_read_once_it_is_whole() {
+        let text = b"POST /form-hosts/s-1/maint HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+        for end in 0..text.len() {
+            assert_eq!(call(&text[..end]), Read::Partial, "the first {end} bytes");
+        }
+        let whole = Call { method: "POST".into(), target: "/form-hosts/s-1/maint".into() };
+        assert_eq!(call(text), Read::Whole(whole, text.len()));
+        for bad in [&b"get / HTTP/1.1\r\n\r\n"[..], b"GET  HTTP/1.1\r\n\r\n", b"GET / SPDY\r\n", b"\r\n"] {
+            assert_eq!(call(bad), Read::Malformed, "{:?}", String::from_utf8_lossy(bad));
+        }
+    }
+
     #[test]
     fn a_chunk_is_read_once_it_is_whole() {
         let whole = b"1a;x=y\r\nabcdefghijklmnopqrstuvwxyz\r\n";
--- a/node/src/protocol/mod.rs
+++ b/node/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! What goes over the sockets, as pure functions from bytes to values and back.
 
+pub mod admin;
 pub mod discovery;
 pub mod http;
 pub mod line;
--- a/node/src/pump.rs
+++ b/node/src/pump.rs
@@ -69,6 +69,23 @@
     Ok(())
 }
 
+/// Adds what there is; false at the end of the connection.
+///
+/// # Errors
+/// Fails if the connection is broken.
+pub async fn read_more(stream: &TcpStream, to: &mut Vec<u8>) -> io::Result<bool> {
+    loop {
+        stream.readable().await?;
+        let before = to.len();
+        to.reserve(4_096);
+        match stream.try_read_buf(to) {
+            Ok(_) => return Ok(to.len() > before),
+            Err(e) if again(&e) => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
 /// Drops up to `most` bytes that have come, without copying them; false at the sender's end.
 ///
 /// # Errors
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,7 @@
 use crate::interface::*;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rand_xoshiro::rand_core::{Rng, SeedableRng};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 // ---- Tunables ---------------------------------------------------------------------------------
 
@@ -128,41 +128,28 @@
     id: ServerId,
     zone: ZoneId,
     cell: CellId,
+    /// As it counts, and as listed: one that is taken out drains whatever the list says.
     state: ServerState,
+    listed: ServerState,
     /// As listed.
     listed_weight: f64,
     /// As used: positive and finite.
     weight: f64,
-    started_at: Millis,
-    /// Own attempts out and connections open.
+    /// Own attempts out and connections open, a predecessor's among them.
     open: u32,
     /// Own connections open.
     connections: Vec<RequestId>,
-    /// It takes nothing new until then.
-    hot_until: Millis,
+    /// A predecessor's attempts and connections, and their load.
+    elsewhere: (u32, f64),
     /// What the own connections load it with now, and at the last housekeepings, newest first.
     load: f64,
     loads: [f64; REPORT_AGE],
-    /// Its last report of its load over what it can do, when that came, and the own load in it.
-    reported: f64,
-    reported_at: Millis,
-    reported_own: f64,
-    /// When it is to be probed next, and relieved again at the earliest.
+    /// When it is to be probed next.
     probe_at: Millis,
-    relieve_at: Millis,
-    /// Own connections it is held to, as of `limit_at`.
-    limit: f64,
-    limit_at: Millis,
     /// Place among the servers that may be picked, or `NOWHERE`.
     place: usize,
-    /// Failures running.
-    failures: u32,
-    failed_at: Millis,
-    /// Out of the ready set until then.
-    out_until: Millis,
-    /// What this node may still send to it while cold, in connections, as of `budget_at`.
-    budget: f64,
-    budget_at: Millis,
+    /// What a successor is told of it.
+    track: Track,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -224,24 +211,15 @@
     draws: usize,
     requests: FxHashMap<RequestId, Pending>,
     held: Vec<RequestId>,
-    /// Own set-ups a millisecond and unit of ready weight, as of `rate_at`.
-    rate: f64,
-    rate_at: Millis,
-    /// Attempts that failed or were throttled, and attempts that stood, lately, as of `judged_at`.
-    failed: f64,
-    stood: f64,
-    judged_at: Millis,
-    /// Own connections that all servers together are held to, and when that was last reviewed.
-    limit: f64,
+    /// What a successor is told of the fleet.
+    fleet: Fleet,
+    /// When the fleet's limit was last reviewed.
     reviewed_at: Millis,
+    /// Own connections, a predecessor's among them.
     total: usize,
-    /// By reports: what servers were loaded with, the connections they held, and the weights that this
-    /// is the capacity of.
-    learnt_load: f64,
-    learnt_held: f64,
-    learnt_share: f64,
-    /// The most connections held, fading over a minute.
-    peak: f64,
+    /// Servers that the operators have taken out, and those put back that have held nothing since.
+    out: FxHashSet<ServerId>,
+    back: FxHashSet<ServerId>,
     /// When housekeeping is due; `INFINITY` before the first event.
     tick_at: Millis,
     asks_failed: u32,
@@ -253,9 +231,8 @@
     /// first event should be the list of servers as last known, empty if there is none.
     #[must_use]
     pub fn new(settings: Settings, seed: u64, now: Millis) -> Self {
-        let aims = settings.classes.iter().map(|c| c.message_aim_ms).filter(|a| *a > 0.0);
-        let slow_aim = aims.fold(f64::INFINITY, f64::min);
         Self {
+            slow_aim: slow_aim(&settings),
             settings,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             now,
@@ -271,21 +248,13 @@
             draws: 2,
             requests: FxHashMap::default(),
             held: Vec::new(),
-            rate: 0.0,
-            rate_at: now,
-            failed: 0.0,
-            stood: 0.0,
-            judged_at: now,
-            limit: f64::INFINITY,
+            fleet: Fleet { rate_at: now, judged_at: now, ..Fleet::default() },
             reviewed_at: now,
             total: 0,
-            learnt_load: 0.0,
-            learnt_held: 0.0,
-            learnt_share: 0.0,
-            peak: 0.0,
+            out: FxHashSet::default(),
+            back: FxHashSet::default(),
             tick_at: f64::INFINITY,
             asks_failed: 0,
-            slow_aim,
         }
     }
 
@@ -303,6 +272,13 @@
         }
         match event {
             Event::ServerList { kind, entries } => self.on_list(kind, &entries, out),
+            Event::Maintenance { server, begins } => self.on_maintenance(server, begins, out),
+            Event::Settings(settings) => {
+                self.slow_aim = slow_aim(&settings);
+                self.settings = settings;
+            }
+            Event::TakeOver(knowledge) => self.take_over(knowledge),
+            Event::Elsewhere(holdings) => self.on_elsewhere(&holdings),
             Event::Request(request) => self.on_request(&request, out),
             Event::OpenConnection { request, server } => self.on_open(&request, server),
             Event::Established { request, attempt, .. } => self.on_established(request, attempt),
@@ -363,7 +339,7 @@
             let listed: FxHashMap<ServerId, ()> = entries.iter().map(|e| (e.server, ())).collect();
             for slot in 0..self.servers.len() {
                 if !listed.contains_key(&self.servers[slot].id) {
-                    self.servers[slot].state = ServerState::Gone;
+                    self.servers[slot].listed = ServerState::Gone;
                 }
             }
         }
@@ -384,18 +360,19 @@
         // start at the middle of it rather than each with a whole connection.
         let budget = self.uniform();
         let server = &mut self.servers[slot];
-        if entry.started_at > server.started_at {
+        if entry.started_at > server.track.started_at {
             // What was known of the process before does not hold for the new one.
-            server.failures = 0;
-            server.out_until = 0.0;
-            server.budget = budget;
-            server.budget_at = self.now;
+            server.track.failures = 0;
+            server.track.out_until = 0.0;
+            server.track.budget = budget;
+            server.track.budget_at = self.now;
         }
         server.zone = entry.zone;
         server.cell = entry.cell;
-        server.state = entry.state;
+        server.listed = entry.state;
         server.listed_weight = entry.weight;
-        server.started_at = entry.started_at;
+        // Put back by the operators after it was started, it counts from then.
+        server.track.started_at = server.track.started_at.max(entry.started_at);
     }
 
     fn add_server(&mut self, entry: &ServerEntry) -> usize {
@@ -404,27 +381,17 @@
             zone: entry.zone,
             cell: entry.cell,
             state: entry.state,
+            listed: entry.state,
             listed_weight: entry.weight,
             weight: 1.0,
-            started_at: 0.0,
             open: 0,
             connections: Vec::new(),
-            hot_until: f64::NEG_INFINITY,
+            elsewhere: (0, 0.0),
             load: 0.0,
             loads: [0.0; REPORT_AGE],
-            reported: 0.0,
-            reported_at: f64::NEG_INFINITY,
-            reported_own: 0.0,
             probe_at: self.now,
-            relieve_at: f64::NEG_INFINITY,
-            limit: f64::INFINITY,
-            limit_at: self.now,
             place: NOWHERE,
-            failures: 0,
-            failed_at: f64::NEG_INFINITY,
-            out_until: f64::NEG_INFINITY,
-            budget: 0.0,
-            budget_at: self.now,
+            track: Track { limit_at: self.now, budget_at: self.now, ..Track::default() },
         };
         let slot = match self.free.pop() {
             Some(slot) => {
@@ -440,6 +407,75 @@
         slot
     }
 
+    /// Maintenance: a server that the operators take out drains until they put it back, whatever the
+    /// list says. It is restarted meanwhile: it comes back cold, and nothing is held against it.
+    fn on_maintenance(&mut self, id: ServerId, begins: bool, out: &mut Vec<Action>) {
+        if begins {
+            self.out.insert(id);
+            self.back.remove(&id);
+        } else if self.out.remove(&id) {
+            self.back.insert(id);
+            if let Some(&slot) = self.index.get(&id) {
+                let server = &mut self.servers[slot];
+                let (limit_at, budget_at, started_at) = (self.now, self.now, self.now);
+                server.track = Track { limit_at, budget_at, started_at, budget: 1.0, ..Track::default() };
+                server.probe_at = self.now;
+            }
+        }
+        self.count_ready();
+        self.retry_held(out);
+    }
+
+    /// What a successor is to know: it goes on as if it had seen all that this balancer has.
+    #[must_use]
+    pub fn knowledge(&self) -> Knowledge {
+        let servers = self.index.iter().map(|(id, slot)| (*id, self.servers[*slot].track.clone())).collect();
+        let sorted = |set: &FxHashSet<ServerId>| set.iter().copied().collect();
+        let (out, back) = (sorted(&self.out), sorted(&self.back));
+        Knowledge { now: self.now, servers, out, back, fleet: self.fleet.clone() }
+    }
+
+    /// Takes over what a predecessor knows. Its clock began elsewhere.
+    fn take_over(&mut self, knowledge: Knowledge) {
+        let by = self.now - knowledge.now;
+        self.fleet = knowledge.fleet.shifted(by);
+        self.out.extend(knowledge.out);
+        self.back.extend(knowledge.back);
+        for (id, track) in knowledge.servers {
+            if let Some(&slot) = self.index.get(&id) {
+                self.servers[slot].track = track.shifted(by);
+            }
+        }
+        self.count_ready();
+    }
+
+    /// What this balancer holds itself, for a successor to count.
+    #[must_use]
+    pub fn holdings(&self) -> Vec<Holding> {
+        let own = |slot: &usize| {
+            let s = &self.servers[*slot];
+            Holding { server: s.id, open: s.open - s.elsewhere.0, load: s.load - s.elsewhere.1 }
+        };
+        self.index.values().map(own).filter(|h| h.open > 0).collect()
+    }
+
+    /// A predecessor's connections count as own ones until it has given them up.
+    fn on_elsewhere(&mut self, holdings: &[Holding]) {
+        for slot in 0..self.servers.len() {
+            let id = self.servers[slot].id;
+            if self.index.get(&id) != Some(&slot) {
+                continue;
+            }
+            let held = holdings.iter().find(|h| h.server == id).map_or((0, 0.0), |h| (h.open, h.load));
+            let server = &mut self.servers[slot];
+            let before = std::mem::replace(&mut server.elsewhere, held);
+            server.load += held.1 - before.1;
+            let by = held.0 as i32 - before.0 as i32;
+            self.total = self.total.saturating_add_signed(by as isize);
+            self.add_open(slot, by);
+        }
+    }
+
     /// Gives up the slot of a server that is gone and holds nothing, unless that was done before
     /// and the server has since come back in another slot.
     fn forget(&mut self, slot: usize, id: ServerId) {
@@ -454,6 +490,10 @@
         let usable = |w: f64| w > 0.0 && w.is_finite();
         let (mut sum, mut known) = (0.0, 0.0);
         self.ready = 0;
+        for s in &mut self.servers {
+            let kept_out = s.listed == ServerState::Ready && self.out.contains(&s.id);
+            s.state = if kept_out { ServerState::Draining } else { s.listed };
+        }
         for s in self.servers.iter().filter(|s| s.state == ServerState::Ready) {
             self.ready += 1;
             if usable(s.listed_weight) {
@@ -483,7 +523,7 @@
             max = max.max(s.weight);
             self.ready_weight += s.weight;
             self.ready_open += f64::from(s.open);
-            if s.out_until > self.now {
+            if s.track.out_until > self.now {
                 self.ejected.push(slot);
             } else {
                 s.place = self.pickable.len();
@@ -515,7 +555,7 @@
 
     fn age(&self, slot: usize) -> Millis {
         let s = &self.servers[slot];
-        if s.started_at > 0.0 { (self.now - s.started_at).max(0.0) } else { f64::INFINITY }
+        if s.track.started_at > 0.0 { (self.now - s.track.started_at).max(0.0) } else { f64::INFINITY }
     }
 
     /// How warm a server is: 0 at its start, 1 when it must be warm.
@@ -559,6 +599,9 @@
 
     /// The pick among d uniform draws, in a few rounds if nothing drawn may be used.
     fn pick(&mut self, pending: &Pending) -> Option<usize> {
+        if let Some(slot) = self.first_back(pending) {
+            return Some(slot);
+        }
         let mut tried_too = false;
         // Two draws seldom meet the own zone where there are many: one more for each other zone.
         let prefers = self.settings.prices.cross_zone > 0.0;
@@ -602,6 +645,21 @@
         None
     }
 
+    /// First back: a server that the operators have put back gets one connection without a draw. They
+    /// see by that whether it serves, and draws may pass over it for long while it counts as the mean.
+    fn first_back(&mut self, pending: &Pending) -> Option<usize> {
+        let slots: Vec<_> = self.back.iter().filter_map(|id| self.index.get(id).copied()).collect();
+        slots.into_iter().find(|&slot| {
+            let s = &self.servers[slot];
+            let out = s.open as usize - s.connections.len() - s.elsewhere.0 as usize;
+            s.place != NOWHERE
+                && out == 0
+                && self.may_run_on(pending, slot)
+                && !self.full(slot)
+                && self.cold_allows(slot)
+        })
+    }
+
     /// A uniform draw over the servers that may be picked.
     fn draw(&mut self) -> Option<usize> {
         if self.pickable.is_empty() {
@@ -618,13 +676,13 @@
         let until = self.now + for_ms;
         let server = &mut self.servers[slot];
         if server.place == NOWHERE {
-            server.out_until = server.out_until.max(until);
+            server.track.out_until = server.track.out_until.max(until);
             return;
         }
         if self.ejected.len() >= most {
             return;
         }
-        server.out_until = until;
+        server.track.out_until = until;
         let place = std::mem::replace(&mut server.place, NOWHERE);
         self.pickable.swap_remove(place);
         if let Some(moved) = self.pickable.get(place) {
@@ -640,15 +698,15 @@
     /// A server has failed: it is out for a while, unless as many are as `most`.
     fn on_failure(&mut self, slot: usize, most: usize) {
         let server = &mut self.servers[slot];
-        if self.now - server.failed_at < SAME_FAILURE_MS {
+        if self.now - server.track.failed_at < SAME_FAILURE_MS {
             return;
         }
-        server.failed_at = self.now;
-        if self.now > server.out_until + FORGIVE_MS {
-            server.failures = 0;
+        server.track.failed_at = self.now;
+        if self.now > server.track.out_until + FORGIVE_MS {
+            server.track.failures = 0;
         }
-        let for_ms = EJECT_MS * f64::from(1u32 << server.failures.min(8));
-        server.failures += 1;
+        let for_ms = EJECT_MS * f64::from(1u32 << server.track.failures.min(8));
+        server.track.failures += 1;
         let spread = 0.75 + 0.5 * self.uniform();
         self.eject(slot, for_ms.min(MAX_EJECT_MS) * spread, most);
     }
@@ -663,19 +721,19 @@
         let slot = pending.slot;
         let server = &mut self.servers[slot];
         if delay_ms <= self.slow_aim * HOT_SHARE {
-            server.hot_until = self.now;
+            server.track.hot_until = self.now;
             return;
         }
-        server.hot_until = self.now + DELAY_NOTE_MS;
+        server.track.hot_until = self.now + DELAY_NOTE_MS;
         let open = f64::from(server.open);
-        let grown = server.limit * ((self.now - server.limit_at) / LIMIT_TAU_MS).exp();
-        server.limit = grown.min(open);
-        server.limit_at = self.now;
+        let grown = server.track.limit * ((self.now - server.track.limit_at) / LIMIT_TAU_MS).exp();
+        server.track.limit = grown.min(open);
+        server.track.limit_at = self.now;
         // Moved at once: a pause that would have ended by itself costs a few moves, a pile-up that
         // is left for one more note takes several to drain.
         if delay_ms > self.slow_aim {
-            server.limit *= 1.0 - (SHED_SHARE + delay_ms / SHED_MS).min(0.5);
-            let excess = open - server.limit;
+            server.track.limit *= 1.0 - (SHED_SHARE + delay_ms / SHED_MS).min(0.5);
+            let excess = open - server.track.limit;
             self.move_some(slot, excess, out);
         }
     }
@@ -684,11 +742,11 @@
     fn full(&mut self, slot: usize) -> bool {
         let some = self.uniform();
         let s = &self.servers[slot];
-        let limit = s.limit * ((self.now - s.limit_at) / LIMIT_TAU_MS).exp();
+        let limit = s.track.limit * ((self.now - s.track.limit_at) / LIMIT_TAU_MS).exp();
         let mean = self.ready_open / self.warm_weight.max(f64::MIN_POSITIVE) * s.weight;
         // A limit between whole numbers holds on the mean over nodes and tries.
         let room = limit.min(MEAN_BOUND * mean + 1.0) + some;
-        s.hot_until > self.now || self.load_now(slot) >= BUSY_LOAD || f64::from(s.open) + 1.0 > room
+        s.track.hot_until > self.now || self.load_now(slot) >= BUSY_LOAD || f64::from(s.open) + 1.0 > room
     }
 
     /// Asks servers for their load, where that is allowed: how long messages take is not told
@@ -718,17 +776,18 @@
         if !ok || at.is_none() {
             return;
         }
-        server.reported = load;
-        server.reported_at = self.now;
-        server.reported_own = server.loads[REPORT_AGE - 1];
+        server.track.reported = load;
+        server.track.reported_at = self.now;
+        server.track.reported_own = server.loads[REPORT_AGE - 1];
         // Own connections are taken to weigh as much as others' there.
         let held = self.settings.report_fields.iter().position(|f| *f == ReportField::InFlight);
         let held = held.and_then(|at| report.get(at)).map_or(0.0, |x| f64::from(*x));
-        let own = server.connections.len() as f64;
+        let own = server.connections.len() as f64 + f64::from(server.elsewhere.0);
         if own > 0.0 && held >= own {
-            self.learnt_held = self.learnt_held * LEARN_KEEP + held;
-            self.learnt_load = self.learnt_load * LEARN_KEEP + server.reported_own * held / own;
-            self.learnt_share = self.learnt_share * LEARN_KEEP + load * server.weight;
+            self.fleet.learnt_held = self.fleet.learnt_held * LEARN_KEEP + held;
+            self.fleet.learnt_load =
+                self.fleet.learnt_load * LEARN_KEEP + server.track.reported_own * held / own;
+            self.fleet.learnt_share = self.fleet.learnt_share * LEARN_KEEP + load * server.weight;
         }
     }
 
@@ -737,12 +796,12 @@
     /// fill a server that looks idle.
     fn load_now(&self, slot: usize) -> f64 {
         let s = &self.servers[slot];
-        if self.now - s.reported_at > REPORT_MS {
+        if self.now - s.track.reported_at > REPORT_MS {
             return 0.0;
         }
-        let capacity = self.learnt_load / self.learnt_share.max(f64::MIN_POSITIVE) * s.weight;
-        let since = if capacity > 0.0 { (s.load - s.reported_own) / capacity } else { 0.0 };
-        s.reported + since
+        let capacity = self.fleet.learnt_load / self.fleet.learnt_share.max(f64::MIN_POSITIVE) * s.weight;
+        let since = if capacity > 0.0 { (s.load - s.track.reported_own) / capacity } else { 0.0 };
+        s.track.reported + since
     }
 
     /// Relieves servers that have more than they can do.
@@ -752,8 +811,8 @@
             let server = &mut self.servers[slot];
             server.loads.rotate_right(1);
             server.loads[0] = server.load;
-            if load >= OVER_LOAD && server.relieve_at <= self.now {
-                server.relieve_at = self.now + RELIEF_MS;
+            if load >= OVER_LOAD && server.track.relieve_at <= self.now {
+                server.track.relieve_at = self.now + RELIEF_MS;
                 self.relieve(slot, 1.0 - BUSY_LOAD / load, out);
             }
         }
@@ -833,7 +892,7 @@
         let mut i = 0;
         while i < self.ejected.len() {
             let slot = self.ejected[i];
-            if self.servers[slot].out_until <= self.now {
+            if self.servers[slot].track.out_until <= self.now {
                 self.ejected.swap_remove(i);
                 self.servers[slot].place = self.pickable.len();
                 self.pickable.push(slot);
@@ -867,22 +926,25 @@
     fn review_fleet(&mut self) {
         let seconds = (self.now - self.reviewed_at) / 1_000.0;
         self.reviewed_at = self.now;
-        let hot =
-            |slot: &usize| self.servers[*slot].hot_until > self.now || self.load_now(*slot) >= OVER_LOAD;
+        let hot = |slot: &usize| {
+            self.servers[*slot].track.hot_until > self.now || self.load_now(*slot) >= OVER_LOAD
+        };
         let hot = (0..self.servers.len()).filter(hot).map(|slot| self.servers[slot].connections.len());
         let hot = hot.sum::<usize>() as f64;
         let total = self.total as f64;
-        self.peak = total.max(self.peak * (1.0 - seconds / 60.0).max(0.0));
+        self.fleet.peak = total.max(self.fleet.peak * (1.0 - seconds / 60.0).max(0.0));
         if hot > total * FLEET_HOT {
-            self.limit = self.limit.min(total) * (1.0 - FLEET_SHED * hot / total * seconds.min(2.0));
+            self.fleet.limit =
+                self.fleet.limit.min(total) * (1.0 - FLEET_SHED * hot / total * seconds.min(2.0));
         } else {
-            self.limit +=
-                seconds * (self.limit * 1_000.0 / LIMIT_TAU_MS).max(FLEET_GROW * self.peak.max(1.0));
+            let fleet = &mut self.fleet;
+            let grow = (fleet.limit * 1_000.0 / LIMIT_TAU_MS).max(FLEET_GROW * fleet.peak.max(1.0));
+            fleet.limit = (fleet.limit + seconds * grow).min(NO_LIMIT);
         }
     }
 
     fn fleet_full(&mut self) -> bool {
-        self.total as f64 + 1.0 > self.limit + self.uniform()
+        self.total as f64 + 1.0 > self.fleet.limit + self.uniform()
     }
 
     // ---- Cold budgets ---------------------------------------------------------------------------
@@ -897,17 +959,19 @@
         }
         let capacity = self.capacity(slot);
         let rules = &self.settings.rules;
-        let rate = self.rate * (-(self.now - self.rate_at) / RATE_TAU_MS).exp();
+        let rate = self.fleet.rate * (-(self.now - self.fleet.rate_at) / RATE_TAU_MS).exp();
         // Refused clients add nothing to the own rate, so what would fill the server in its time to
         // warm up counts too, as far as reports have told that; all nodes together send that much.
-        let fill = self.learnt_held / self.learnt_share.max(f64::MIN_POSITIVE) / rules.warm_after_ms.max(1.0);
+        let fill = self.fleet.learnt_held
+            / self.fleet.learnt_share.max(f64::MIN_POSITIVE)
+            / rules.warm_after_ms.max(1.0);
         let fair = rate.max(fill / f64::from(self.settings.nodes.max(1))) * self.servers[slot].weight;
         let allowed = rules.tip_multiple * COLD_MARGIN * capacity * fair;
         let server = &mut self.servers[slot];
-        let grown = server.budget + allowed * (self.now - server.budget_at);
-        server.budget = grown.min(1.0f64.max(allowed * rules.overload_for_ms));
-        server.budget_at = self.now;
-        server.budget >= 1.0
+        let grown = server.track.budget + allowed * (self.now - server.track.budget_at);
+        server.track.budget = grown.min(1.0f64.max(allowed * rules.overload_for_ms));
+        server.track.budget_at = self.now;
+        server.track.budget >= 1.0
     }
 
     // ---- Request life ---------------------------------------------------------------------------
@@ -979,33 +1043,32 @@
         self.requests.insert(new.request, pending);
     }
 
-    /// May the next attempt go to this server without any effect happening twice?
+    /// May there be another attempt at all without any effect happening twice?
+    fn may_repeat(&self, pending: &Pending) -> bool {
+        match (pending.ran, self.effect(pending.class)) {
+            (None, _) | (_, Effect::Safe) => true,
+            (_, Effect::Unsafe) => false,
+            (Some(ran), Effect::Keyed { window_ms, .. }) => self.now - ran.at < window_ms,
+        }
+    }
+
+    /// May the next attempt go to this server?
     fn may_run_on(&self, pending: &Pending, slot: usize) -> bool {
-        let Some(ran) = pending.ran else { return true };
         let server = &self.servers[slot];
-        match self.effect(pending.class) {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed { scope, window_ms } => {
-                self.now - ran.at < window_ms
-                    && match scope {
-                        KeyScope::All => true,
-                        KeyScope::Zone => server.zone == ran.zone,
-                        KeyScope::Cell => server.cell == ran.cell,
-                    }
+        self.may_repeat(pending)
+            && match (pending.ran, self.effect(pending.class)) {
+                (Some(ran), Effect::Keyed { scope: KeyScope::Zone, .. }) => server.zone == ran.zone,
+                (Some(ran), Effect::Keyed { scope: KeyScope::Cell, .. }) => server.cell == ran.cell,
+                _ => true,
             }
-        }
     }
 
     /// Sends the next attempt, or holds the request, or gives its final answer.
     fn attempt(&mut self, id: RequestId, mut pending: Pending, out: &mut Vec<Action>) {
         let left = pending.deadline - self.now;
         let tries_left = self.settings.limits.max_attempts.saturating_sub(pending.attempts);
-        if left < LEAST_LEFT_MS || tries_left == 0 {
-            self.answer(id, &pending, out);
-            return;
-        }
-        if self.throttled() || self.fleet_full() {
+        let over = left < LEAST_LEFT_MS || tries_left == 0 || !self.may_repeat(&pending);
+        if over || self.throttled() || self.fleet_full() {
             self.answer(id, &pending, out);
             return;
         }
@@ -1022,15 +1085,16 @@
             }
             return;
         };
-        // Half of the time stays for another server, unless the aim takes more.
-        let timeout_ms = if tries_left > 1 && left / 2.0 >= self.aim(pending.class) / 2.0 {
+        // Half of the time stays for another server, unless the aim takes more or none may follow.
+        let another = tries_left > 1 && self.effect(pending.class) != Effect::Unsafe;
+        let timeout_ms = if another && left / 2.0 >= self.aim(pending.class) / 2.0 {
             (left / 2.0).max(self.aim(pending.class)).min(left)
         } else {
             left
         };
         out.push(Action::Send { request: id, server: self.servers[slot].id, timeout_ms });
         self.add_open(slot, 1);
-        self.servers[slot].budget -= 1.0;
+        self.servers[slot].track.budget -= 1.0;
         pending.phase = Phase::Trying;
         pending.tried = [slot, pending.tried[0]];
         pending.slot = slot;
@@ -1043,14 +1107,14 @@
     /// store that all servers share cannot keep up. Clients that return would keep it down.
     fn throttled(&mut self) -> bool {
         // Attempts still out say nothing: many clients that return at once are no failure.
-        let fade = (-(self.now - self.judged_at) / THROTTLE_TAU_MS).exp();
-        self.judged_at = self.now;
-        self.stood *= fade;
-        self.failed *= fade;
-        let excess = self.failed - (THROTTLE_RATIO - 1.0) * self.stood - THROTTLE_SLACK;
-        let throttled = excess > 0.0 && self.uniform() < excess / (self.failed + self.stood);
+        let fade = (-(self.now - self.fleet.judged_at) / THROTTLE_TAU_MS).exp();
+        self.fleet.judged_at = self.now;
+        self.fleet.stood *= fade;
+        self.fleet.failed *= fade;
+        let excess = self.fleet.failed - (THROTTLE_RATIO - 1.0) * self.fleet.stood - THROTTLE_SLACK;
+        let throttled = excess > 0.0 && self.uniform() < excess / (self.fleet.failed + self.fleet.stood);
         if throttled {
-            self.failed += 1.0;
+            self.fleet.failed += 1.0;
         }
         throttled
     }
@@ -1096,13 +1160,14 @@
         pending.phase = Phase::Open;
         let erred = std::mem::take(&mut pending.erred);
         let server = &mut self.servers[pending.slot];
+        self.back.remove(&server.id);
         server.connections.push(id);
         server.load += pending.load;
         self.total += 1;
-        self.stood += 1.0;
-        self.rate *= (-(self.now - self.rate_at) / RATE_TAU_MS).exp();
-        self.rate += 1.0 / RATE_TAU_MS / self.warm_weight.max(f64::MIN_POSITIVE);
-        self.rate_at = self.now;
+        self.fleet.stood += 1.0;
+        self.fleet.rate *= (-(self.now - self.fleet.rate_at) / RATE_TAU_MS).exp();
+        self.fleet.rate += 1.0 / RATE_TAU_MS / self.warm_weight.max(f64::MIN_POSITIVE);
+        self.fleet.rate_at = self.now;
         self.blame(&erred, true);
     }
 
@@ -1110,10 +1175,10 @@
     /// itself at fault: its servers must not be left out for it, and it counts as one failure.
     fn blame(&mut self, erred: &[usize], stood: bool) {
         if stood || erred.len() == 1 {
-            self.failed += erred.len() as f64;
+            self.fleet.failed += erred.len() as f64;
             erred.iter().for_each(|slot| self.on_failure(*slot, self.most_ejected()));
         } else if !erred.is_empty() {
-            self.failed += 1.0;
+            self.fleet.failed += 1.0;
         }
     }
 
@@ -1143,7 +1208,7 @@
             // Nobody is there: that is no cause which servers share, and all but one may be out for it.
             Outcome::ConnectFailed => self.on_failure(slot, self.ready.saturating_sub(1)),
             Outcome::Error | Outcome::Full | Outcome::TimedOut | Outcome::Reset => {
-                self.failed += f64::from(u8::from(pending.phase == Phase::Trying));
+                self.fleet.failed += f64::from(u8::from(pending.phase == Phase::Trying));
                 self.on_failure(slot, self.most_ejected());
             }
         }
@@ -1188,3 +1253,9 @@
         }
     }
 }
+
+/// The strictest aim for a message.
+fn slow_aim(settings: &Settings) -> Millis {
+    let aims = settings.classes.iter().map(|c| c.message_aim_ms).filter(|a| *a > 0.0);
+    aims.fold(f64::INFINITY, f64::min)
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,13 +2,17 @@
 //!
 //! Times are `f64` milliseconds on one monotonic clock of the embedding node; its origin is free.
 
+use serde::{Deserialize, Serialize};
+
 /// Milliseconds, as a point on the node's monotonic clock or as a span.
 pub type Millis = f64;
 
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
         pub struct $name(pub $inner);
     )*};
 }
@@ -373,6 +377,171 @@
     },
     /// The client has left; nothing is owed.
     ClientGone(RequestId),
+    /// The operators take a server out, or put it back.
+    Maintenance {
+        /// Which; it need not be listed now.
+        server: ServerId,
+        /// Out if true, back if false. What is so already stays as it is.
+        begins: bool,
+    },
+    /// New settings, in place of the old. Classes and tenants keep their numbers: one that is no
+    /// longer used stays in its place.
+    Settings(Settings),
+    /// What a predecessor knows, whose place this balancer takes. To come after the list.
+    TakeOver(Knowledge),
+    /// All that the predecessor holds as of now; nothing once it has ended.
+    Elsewhere(Vec<Holding>),
+}
+
+/// Attempts and connections of another process that is the same balancer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Holding {
+    /// At this server.
+    pub server: ServerId,
+    /// How many.
+    pub open: u32,
+    /// Their load.
+    pub load: f64,
+}
+
+/// What a balancer has learnt, for its successor. Every figure in it is finite, so that it outlives
+/// being written down.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// The time on the clock by which all of it is told.
+    pub now: Millis,
+    /// Of each server.
+    pub servers: Vec<(ServerId, Track)>,
+    /// Servers that the operators have taken out.
+    pub out: Vec<ServerId>,
+    /// Those that they have put back and that have held nothing since.
+    pub back: Vec<ServerId>,
+    /// Of the fleet.
+    pub fleet: Fleet,
+}
+
+/// A point in time that is long past on any clock.
+pub const LONG_AGO: Millis = -1e12;
+/// A limit that limits nothing.
+pub const NO_LIMIT: f64 = 1e12;
+
+/// What a balancer has learnt of one server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Track {
+    /// When it last started; 0 or less for long ago.
+    pub started_at: Millis,
+    /// It takes nothing new until then.
+    pub hot_until: Millis,
+    /// Its last report of its load over what it can do ...
+    pub reported: f64,
+    /// ... when that came ...
+    pub reported_at: Millis,
+    /// ... and the own load in it.
+    pub reported_own: f64,
+    /// When it is relieved again at the earliest.
+    pub relieve_at: Millis,
+    /// Own connections it is held to ...
+    pub limit: f64,
+    /// ... as of then.
+    pub limit_at: Millis,
+    /// Failures running.
+    pub failures: u32,
+    /// When it failed last.
+    pub failed_at: Millis,
+    /// Out of the ready set until then.
+    pub out_until: Millis,
+    /// What this node may still send to it while cold, in connections ...
+    pub budget: f64,
+    /// ... as of then.
+    pub budget_at: Millis,
+}
+
+impl Default for Track {
+    fn default() -> Self {
+        Self {
+            started_at: 0.0,
+            hot_until: LONG_AGO,
+            reported: 0.0,
+            reported_at: LONG_AGO,
+            reported_own: 0.0,
+            relieve_at: LONG_AGO,
+            limit: NO_LIMIT,
+            limit_at: LONG_AGO,
+            failures: 0,
+            failed_at: LONG_AGO,
+            out_until: LONG_AGO,
+            budget: 0.0,
+            budget_at: LONG_AGO,
+        }
+    }
+}
+
+impl Track {
+    /// The same on a clock that shows so much more.
+    #[must_use]
+    pub fn shifted(self, by: Millis) -> Self {
+        Self {
+            started_at: if self.started_at > 0.0 { self.started_at + by } else { 0.0 },
+            hot_until: self.hot_until + by,
+            reported_at: self.reported_at + by,
+            relieve_at: self.relieve_at + by,
+            limit_at: self.limit_at + by,
+            failed_at: self.failed_at + by,
+            out_until: self.out_until + by,
+            budget_at: self.budget_at + by,
+            ..self
+        }
+    }
+}
+
+/// What a balancer has learnt of the fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// Own set-ups a millisecond and unit of ready weight ...
+    pub rate: f64,
+    /// ... as of then.
+    pub rate_at: Millis,
+    /// Attempts that failed or were throttled lately ...
+    pub failed: f64,
+    /// ... and those that stood ...
+    pub stood: f64,
+    /// ... as of then.
+    pub judged_at: Millis,
+    /// Own connections that all servers together are held to.
+    pub limit: f64,
+    /// By reports: what servers were loaded with ...
+    pub learnt_load: f64,
+    /// ... the connections they held ...
+    pub learnt_held: f64,
+    /// ... and the weights that this is the capacity of.
+    pub learnt_share: f64,
+    /// The most connections held, fading over a minute.
+    pub peak: f64,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            rate: 0.0,
+            rate_at: LONG_AGO,
+            failed: 0.0,
+            stood: 0.0,
+            judged_at: LONG_AGO,
+            limit: NO_LIMIT,
+            learnt_load: 0.0,
+            learnt_held: 0.0,
+            learnt_share: 0.0,
+            peak: 0.0,
+        }
+    }
+}
+
+impl Fleet {
+    /// The same on a clock that shows so much more.
+    #[must_use]
+    pub fn shifted(self, by: Millis) -> Self {
+        Self { rate_at: self.rate_at + by, judged_at: self.judged_at + by, ..self }
+    }
 }
 
 /// Something the node is to do, in the order written.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -484,3 +484,68 @@
     // 20 connections at a load of 0.4 to 0.75: 27 to 50 fill it, in 9 s, and it starts at 0.35 of that.
     assert!((3..=9).contains(&taken), "{taken}");
 }
+
+fn maintain(node: &mut Node, begins: bool) -> Vec<Action> {
+    node.on(Event::Maintenance { server: ServerId(1), begins })
+}
+
+#[test]
+fn a_server_taken_out_drains_whatever_the_list_says_until_it_is_put_back() {
+    let mut node = Node::new(settings(), entries(4));
+    node.shares(20);
+    maintain(&mut node, true);
+    let mut left = 0;
+    while node.now < 10_000.0 {
+        node.now += 200.0;
+        for action in node.on(Event::Timer(TimerToken(0))) {
+            if let Action::Move(request) = action {
+                left += 1;
+                node.end(request, 0, Outcome::Cancelled, true);
+            }
+        }
+    }
+    assert!(left >= 4, "its connections are left: {left}");
+    for entries in [entries(4), entries(4).split_off(1), entries(4)] {
+        node.list(ListKind::Full, entries);
+        assert!(!node.shares(20).contains_key(&ServerId(1)), "it was sent something");
+    }
+    maintain(&mut node, false);
+    // Put back it starts cold; draws may pass over it for long, the operators do not wait for that.
+    assert_eq!(node.place().1, ServerId(1));
+    let cold = node.shares(40).get(&ServerId(1)).copied().unwrap_or_default();
+    assert!(cold < 10, "{cold} of 40 to a cold server of four");
+    // It is no longer new to the operators, and being put back again means nothing.
+    maintain(&mut node, false);
+    node.now += 40_000.0;
+    assert!(node.shares(40).get(&ServerId(1)).is_some_and(|n| *n >= 8));
+}
+
+#[test]
+fn what_was_held_against_a_server_is_forgotten_when_it_is_put_back() {
+    let mut node = Node::new(settings(), entries(3));
+    node.shares(9);
+    for _ in 0..6 {
+        // Out for the longest time.
+        let (request, server) = node.place();
+        node.now += 100.0;
+        if server == ServerId(1) {
+            node.end(request, 0, Outcome::Reset, false);
+        }
+    }
+    maintain(&mut node, true);
+    maintain(&mut node, false);
+    assert_eq!(node.place().1, ServerId(1));
+}
+
+#[test]
+fn a_class_that_may_not_run_twice_is_answered_at_once_when_it_may_have_run() {
+    // Held back for a server that could not be used anyhow, the answer came at the end of the aim.
+    let mut settings = settings();
+    settings.classes[0].effect = Effect::Unsafe;
+    let mut node = Node::new(settings, entries(3));
+    let (request, actions) = node.ask(2_000.0);
+    assert!(matches!(actions[..], [Action::Send { timeout_ms: 2_000.0, .. }]), "{actions:?}");
+    assert_eq!(node.end(request, 0, Outcome::Reset, false), [Action::Fail(request)]);
+    let (request, _) = node.ask(2_000.0);
+    assert!(sent(&node.end(request, 0, Outcome::ConnectFailed, false)).is_some());
+}
