--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -4,17 +4,15 @@
 //! made in full in time, or when its place is needed, is cut off.
 
 use crate::clock::{Clock, Millis};
-use crate::core::Core;
 use crate::descriptors::{Descriptors, Purpose};
-use crate::directory::Directory;
+use crate::handover::Handover;
 use crate::places::{Place, Places};
 use crate::protocol::admin::{self, Answer, Asked};
 use crate::protocol::http::{self, Call, Read};
 use crate::protocol::line;
 use crate::pump;
-use marllink::{Event, ServerId};
+use marllink::ServerId;
 use socket2::SockRef;
-use std::cell::Cell;
 use std::net::Shutdown;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -30,24 +28,16 @@
 
 /// The door.
 pub struct Admin {
-    core: Rc<Core>,
     clock: Clock,
-    directory: Rc<Directory>,
-    /// This process takes clients.
-    serving: Rc<Cell<bool>>,
+    /// Whether this process takes clients, and who must know of maintenance.
+    handover: Rc<Handover>,
     places: Rc<Places>,
 }
 
 impl Admin {
-    /// A door to these.
-    pub fn new(
-        core: Rc<Core>,
-        clock: Clock,
-        directory: Rc<Directory>,
-        serving: Rc<Cell<bool>>,
-        descriptors: Rc<Descriptors>,
-    ) -> Rc<Self> {
-        Rc::new(Self { core, clock, directory, serving, places: Places::new(descriptors, Purpose::Call) })
+    /// The door of this process.
+    pub fn new(clock: Clock, handover: Rc<Handover>, descriptors: Rc<Descriptors>) -> Rc<Self> {
+        Rc::new(Self { clock, handover, places: Places::new(descriptors, Purpose::Call) })
     }
 
     /// Takes calls for ever.
@@ -96,15 +86,15 @@
 
     fn answer(&self, call: &Call) -> Answer {
         match admin::asked(call) {
-            Ok(Asked::Health) if self.serving.get() => Answer::new(200, "taking clients"),
+            Ok(Asked::Health) if *self.handover.serving.borrow() => Answer::new(200, "taking clients"),
             Ok(Asked::Health) => Answer::new(503, "taking no clients"),
             Ok(Asked::Maintenance { uid, begins }) => {
                 let server = ServerId(line::number_of(uid));
-                if self.directory.address(server).is_none() {
+                if self.handover.directory.address(server).is_none() {
                     return Answer::new(404, "no such form host was ever listed");
                 }
                 tracing::info!("operators: {uid} is {}", if begins { "taken out" } else { "put back" });
-                self.core.feed(Event::Maintenance { server, begins });
+                self.handover.maintain(server, begins);
                 Answer::new(200, if begins { "out" } else { "back" })
             }
             Err(answer) => answer,
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -13,6 +13,7 @@
 use std::net::Shutdown;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 /// A connection must have asked for something sound within this time of being accepted, however
 /// many lines it sends: a limit on each line could be drawn out for ever. Clients ask at once, and
@@ -50,18 +51,23 @@
     pub retry_after_ms: Millis,
     /// Of connections that have not asked for anything sound yet or are being turned away.
     pub openings: Rc<Places>,
-    /// True while clients are accepted.
-    pub serving: Rc<Cell<bool>>,
+    /// Whether clients are accepted.
+    pub serving: watch::Receiver<bool>,
     /// How many have been turned away since that was last told.
     pub turned_away: Cell<usize>,
 }
 
 impl Clients {
-    /// Accepts connections for ever.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        self.serving.set(true);
-        loop {
-            match listener.accept().await {
+    /// Accepts connections for ever, while this process serves.
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+        let mut serving = self.serving.clone();
+        while serving.wait_for(|serving| *serving).await.is_ok() {
+            let accepted = tokio::select! {
+                biased;
+                _ = serving.wait_for(|serving| !*serving) => continue,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let place = self.openings.place().await;
                     let clients = self.clone();
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -28,6 +28,8 @@
     pub known: List,
     /// The settings of the deployment.
     pub settings: Parsed,
+    /// The file as it was read.
+    pub text: String,
 }
 
 #[derive(Deserialize)]
@@ -69,6 +71,26 @@
     load_with(variable, read, true)
 }
 
+/// The configuration of a process that takes the place of another: what was in force there, though
+/// the file may have changed since, or may be wrong by now. All else is as `told` at this start.
+///
+/// # Errors
+/// Says what is wrong with what was in force.
+pub fn inherit(
+    told: Result<Config, String>,
+    text: &str,
+    discovery: SocketAddr,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<Config, String> {
+    let in_force = load_with(variable, |_| Ok(text.as_bytes().to_vec()), true)?;
+    let told = told.unwrap_or_else(|message| {
+        tracing::error!("the configuration stays as it was: {message}");
+        // The numbers that the process before has drawn must not be drawn again.
+        Config { seed: in_force.seed.wrapping_add(1), ..in_force.clone() }
+    });
+    Ok(Config { discovery, settings: in_force.settings, text: in_force.text, ..told })
+}
+
 impl Config {
     /// What differs from `running` and holds only from the next start on, by the file's names.
     pub fn only_at_start(&self, running: &Self) -> Vec<&'static str> {
@@ -113,6 +135,7 @@
         known: file.known.unwrap_or(List { rev: 0, all: true, targets: Vec::new() }),
         settings: marllink_settings::from_value(file.settings)
             .map_err(|e| format!("{path}: settings: {e}"))?,
+        text: String::from_utf8_lossy(&text).into_owned(),
     })
 }
 
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -4,7 +4,7 @@
 //! sockets and no syntax: whoever brings requests, by whatever protocol, implements [`Requests`].
 
 use crate::clock::{Clock, Millis};
-use marllink::{Action, AttemptNo, Balancer, Event, RequestId, ServerId, Settings};
+use marllink::{Action, AttemptNo, Balancer, Event, Holding, Knowledge, RequestId, ServerId, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::{Rc, Weak};
@@ -75,6 +75,18 @@
         RequestId(id)
     }
 
+    /// What a successor is to know.
+    pub fn knowledge(&self) -> Knowledge {
+        Knowledge { now: self.clock.now(), ..self.balancer.borrow().knowledge() }
+    }
+
+    /// What this process holds itself.
+    pub fn holdings(&self) -> Vec<Holding> {
+        let mut holdings = self.balancer.borrow().holdings();
+        holdings.sort_by_key(|held| held.server);
+        holdings
+    }
+
     /// Takes an event. What carrying out its actions brings about comes after it, so that events
     /// are handled one at a time and actions carried out in the order they were decided.
     pub fn feed(&self, event: Event) {
--- a/node/src/descriptors.rs
+++ b/node/src/descriptors.rs
@@ -17,6 +17,10 @@
 /// being turned away: clients hold at most a third, and so do their connections to form hosts.
 const OPENINGS: f64 = 0.25;
 
+/// So many are kept for clients that have connected and not yet asked, and for their attempts, after
+/// all else was given up to a successor.
+const SLACK: usize = 16;
+
 /// What a descriptor is for. Each purpose has a share of its own, so that none starves another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
@@ -31,8 +35,12 @@
 /// What is left of the limit.
 #[derive(Debug)]
 pub struct Descriptors {
-    limit: Cell<usize>,
+    limit: usize,
     used: [Cell<usize>; 3],
+    /// What a predecessor may hold of the limit.
+    elsewhere: Cell<usize>,
+    /// Since this process has handed over: how many there are for serving and openings together.
+    trimmed: Cell<Option<usize>>,
 }
 
 /// One descriptor, given back when dropped.
@@ -45,14 +53,22 @@
 impl Descriptors {
     /// All of `limit` but what the process needs for itself.
     pub fn new(limit: usize) -> Rc<Self> {
-        Rc::new(Self { limit: limit.into(), used: Default::default() })
+        Rc::new(Self { limit, used: Default::default(), elsewhere: 0.into(), trimmed: Cell::default() })
     }
 
     /// How many there are for a purpose.
     fn share(&self, purpose: Purpose) -> usize {
-        let limit = self.limit.get();
+        if let Some(both) = self.trimmed.get() {
+            let but = |other| both.saturating_sub(self.in_use(other));
+            return match purpose {
+                Purpose::Served => but(Purpose::Opening),
+                Purpose::Opening => but(Purpose::Served),
+                Purpose::Call => self.calls(),
+            };
+        }
+        let limit = self.limit.saturating_sub(self.elsewhere.get());
         // Without any, nobody could even be turned away.
-        let calls = (limit / CALLS_SHARE).clamp(1, MOST_CALLS);
+        let calls = self.calls();
         let left = limit.saturating_sub(OWN + calls);
         let openings = ((left as f64 * OPENINGS) as usize).max(1);
         match purpose {
@@ -62,6 +78,34 @@
         }
     }
 
+    fn calls(&self) -> usize {
+        (self.limit / CALLS_SHARE).clamp(1, MOST_CALLS)
+    }
+
+    /// A predecessor may still hold so many.
+    pub fn leave(&self, elsewhere: usize) {
+        self.elsewhere.set(elsewhere);
+    }
+
+    /// Gives up all that is not in use now, but for a few, to a successor. Tells how many this process
+    /// may still hold, which only grows less.
+    pub fn trim(&self) -> usize {
+        let both = self.in_use(Purpose::Served) + self.in_use(Purpose::Opening) + SLACK;
+        let both = both.min(self.trimmed.get().unwrap_or(usize::MAX));
+        self.trimmed.set(Some(both));
+        OWN + self.calls() + both + self.elsewhere.get()
+    }
+
+    /// Takes all back: there is no successor.
+    pub fn untrim(&self) {
+        self.trimmed.set(None);
+    }
+
+    /// How many are in use for a purpose.
+    pub fn in_use(&self, purpose: Purpose) -> usize {
+        self.used[purpose as usize].get()
+    }
+
     /// One for this purpose, if there is one left.
     pub fn take(self: &Rc<Self>, purpose: Purpose) -> Option<Descriptor> {
         let used = &self.used[purpose as usize];
@@ -93,6 +137,15 @@
         assert_eq!(counts(), [0, 0, 0]);
         drop(taken);
         assert_eq!(counts(), [22, 7, 3]);
+        let held = all(Purpose::Served);
+        pool.leave(12);
+        assert_eq!(counts(), [0, 4, 3], "those of a predecessor are not there");
+        pool.leave(0);
+        assert_eq!(pool.trim(), OWN + 3 + 22 + SLACK);
+        drop(held);
+        assert_eq!(pool.trim(), OWN + 3 + SLACK);
+        let later = all(Purpose::Served);
+        assert_eq!((later.len(), counts()), (SLACK, [0, 0, 3]), "what was given up does not come back");
         let small = Descriptors::new(3);
         assert!(small.take(Purpose::Served).is_none());
         assert!(small.take(Purpose::Opening).is_some() && small.take(Purpose::Call).is_some());
--- a/node/src/directory.rs
+++ b/node/src/directory.rs
@@ -27,6 +27,11 @@
         self.addresses.borrow().get(&server).copied()
     }
 
+    /// All that were ever listed.
+    pub fn all(&self) -> Vec<(ServerId, SocketAddr)> {
+        self.addresses.borrow().iter().map(|(server, address)| (*server, *address)).collect()
+    }
+
     /// Discovery itself has told of the form hosts: who is not known now may never be.
     pub fn tell(&self) {
         self.told.set(true);
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -6,11 +6,12 @@
 use crate::clock::{Clock, Millis};
 use crate::core::{Core, Membership};
 use crate::directory::Directory;
-use crate::protocol::discovery::{self as syntax, List};
+use crate::protocol::discovery::{self as syntax, List, Target};
 use crate::protocol::http::{self, Read};
 use crate::pump;
 use marllink::{Event, ListKind};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use tokio::net::TcpStream;
@@ -30,7 +31,8 @@
     directory: Rc<Directory>,
     address: Cell<SocketAddr>,
     zones: Vec<String>,
-    /// The version of the list in hand.
+    /// The list in hand, and its version.
+    targets: RefCell<BTreeMap<String, Target>>,
     rev: Cell<u64>,
     /// The call for the whole list that is under way, and the watch that is open, if there are any.
     fetch: RefCell<Option<AbortHandle>>,
@@ -53,6 +55,7 @@
             directory,
             address: Cell::new(address),
             zones,
+            targets: RefCell::default(),
             rev: Cell::new(0),
             fetch: RefCell::new(None),
             watch: RefCell::new(None),
@@ -80,6 +83,16 @@
         self.watch();
     }
 
+    /// The service as it is asked now.
+    pub fn address(&self) -> SocketAddr {
+        self.address.get()
+    }
+
+    /// The list in hand.
+    pub fn list(&self) -> List {
+        List { rev: self.rev.get(), all: true, targets: self.targets.borrow().values().cloned().collect() }
+    }
+
     /// Passes a list on. Changes that are part of the list in hand are passed over: discovery may
     /// answer a call that was made before a later one was answered.
     fn take(&self, list: &List) {
@@ -92,7 +105,15 @@
 
     fn tell(&self, list: &List, kind: ListKind) {
         self.rev.set(list.rev);
+        if list.all {
+            self.targets.borrow_mut().clear();
+        }
         for target in &list.targets {
+            if target.is_deleted() {
+                self.targets.borrow_mut().remove(&target.uid);
+            } else {
+                self.targets.borrow_mut().insert(target.uid.clone(), target.clone());
+            }
             self.directory.insert(target.server(), target.endpoint);
         }
         if kind != ListKind::Cached {
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -168,6 +168,8 @@
     entries: RefCell<BTreeMap<RequestId, Entry>>,
     /// The ids, as clients gave them, of requests that are not over.
     in_use: Rc<RefCell<HashSet<u64>>>,
+    /// Those of a predecessor's.
+    elsewhere: RefCell<HashSet<u64>>,
     delays: RefCell<Delays>,
     emptied: Notify,
     me: Weak<Exchange>,
@@ -194,6 +196,7 @@
             orders,
             entries: RefCell::default(),
             in_use: Rc::default(),
+            elsewhere: RefCell::default(),
             delays,
             emptied: Notify::new(),
             me: me.clone(),
@@ -224,7 +227,9 @@
             _ => 0,
         };
         // Form hosts tell connections apart by their ids: a second one would be a copy of the first.
-        let id_in_use = IdInUse::take(opening.id, &self.in_use).ok_or("the id of an open request")?;
+        let id_in_use = IdInUse::take(opening.id, &self.in_use)
+            .filter(|id| !self.elsewhere.borrow().contains(&id.id))
+            .ok_or("the id of an open request")?;
         let at = opening.at.as_deref().map(|uid| ServerId(line::number_of(uid)));
         let most = if at.is_some() { NO_DEADLINE_MS } else { f64::INFINITY };
         let wait_ms = opening.wait_ms.min(most) - ANSWER_MARGIN_MS;
@@ -315,6 +320,18 @@
         }
     }
 
+    /// The ids of requests that are not over.
+    pub fn ids_in_use(&self) -> Vec<u64> {
+        let mut ids: Vec<_> = self.in_use.borrow().iter().copied().collect();
+        ids.sort_unstable();
+        ids
+    }
+
+    /// These ids are in use at a predecessor.
+    pub fn held_elsewhere(&self, ids: Vec<u64>) {
+        *self.elsewhere.borrow_mut() = ids.into_iter().collect();
+    }
+
     /// Moves this share of the connections that stand, at least one if there are any, oldest first.
     pub fn move_share(&self, share: f64) {
         let standing = self.ids(|e| matches!(e.phase, Phase::Standing));
--- a/node/src/protocol/discovery.rs
+++ b/node/src/protocol/discovery.rs
@@ -3,11 +3,11 @@
 use super::line::number_of;
 use crate::clock::Clock;
 use marllink::{CellId, ServerEntry, ServerId, ServerState, ZoneId};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// A list, or what has changed in it.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct List {
     /// Its version.
     pub rev: u64,
@@ -18,7 +18,7 @@
 }
 
 /// A form host as listed.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Target {
     /// The same at every balancer.
     pub uid: String,
@@ -35,7 +35,7 @@
     boot_ms: f64,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 enum State {
     #[serde(rename = "SERVING")]
     Serving,
@@ -49,6 +49,11 @@
 }
 
 impl Target {
+    /// True if it is no longer there.
+    pub fn is_deleted(&self) -> bool {
+        self.state == State::Deleted
+    }
+
     /// The id by which the decisions know it.
     pub fn server(&self) -> ServerId {
         ServerId(number_of(&self.uid))
--- a/node/src/protocol/mod.rs
+++ b/node/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod discovery;
+pub mod handover;
 pub mod http;
 pub mod line;
 pub mod report;
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -1,7 +1,8 @@
 //! A planned end: SIGTERM.
 
 use crate::clock::{Clock, Millis};
-use crate::exchange::Exchange;
+use crate::descriptors::Purpose;
+use crate::handover::Handover;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// The front sends newcomers for up to 0.4 s more; they are served as before. Connections stand as
@@ -10,6 +11,9 @@
 const SERVE_ON_MS: Millis = 1_700.0;
 /// Connections are moved evenly over this time, so that they come again evenly.
 const MOVE_OVER_MS: Millis = 1_100.0;
+/// A process whose successor takes clients moves its own evenly over this time instead, and at once:
+/// nobody else is down, and the successor must get them one by one.
+const MOVE_TO_SUCCESSOR_MS: Millis = 2_700.0;
 /// SIGKILL comes 3.7 s after SIGTERM at the earliest; what is not over by then would be lost.
 const LEAVE_AFTER_MS: Millis = 3_100.0;
 /// How often some are moved.
@@ -25,12 +29,19 @@
 
 /// Waits for SIGTERM, and returns once every connection has been moved and every request answered,
 /// or when there is no time left for that.
-pub async fn orderly(mut term: Signal, clock: &Clock, exchange: &Exchange) {
+pub async fn orderly(mut term: Signal, clock: &Clock, handover: &Handover) {
+    let exchange = &handover.exchange;
     term.recv().await;
+    handover.leaving.set(true);
+    let leave_at = clock.now() + LEAVE_AFTER_MS;
+    let mut serving = handover.serving.subscribe();
     tracing::info!(requests = exchange.len(), "SIGTERM: serving newcomers, then moving all");
-    clock.sleep(SERVE_ON_MS).await;
+    // A successor may take clients at this very moment.
+    let succeeded = serving.wait_for(|serving| !*serving);
+    let succeeded = clock.within(SERVE_ON_MS, succeeded).await.is_some();
+    let move_over = if succeeded { MOVE_TO_SUCCESSOR_MS } else { MOVE_OVER_MS };
     let moving = async {
-        let until = clock.now() + MOVE_OVER_MS;
+        let until = (clock.now() + move_over).min(leave_at - 2.0 * AGAIN_MS);
         loop {
             let left = until - clock.now();
             exchange.move_share(if left > AGAIN_MS { AGAIN_MS / left } else { 1.0 });
@@ -41,10 +52,17 @@
             clock.sleep(AGAIN_MS).await;
         }
     };
+    let idle = async {
+        exchange.until_empty().await;
+        // Nobody new comes to a process that has handed over; those that have come are answered.
+        while succeeded && handover.descriptors.in_use(Purpose::Opening) + exchange.len() > 0 {
+            clock.sleep(AGAIN_MS).await;
+        }
+    };
     tokio::select! {
-        () = exchange.until_empty() => {}
+        () = idle => {}
         () = moving => {}
-        () = clock.sleep(LEAVE_AFTER_MS - SERVE_ON_MS) => {}
+        () = clock.sleep(leave_at - clock.now()) => {}
     }
     tracing::info!(requests = exchange.len(), "leaving");
 }
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::io::{Read, Write};
 use std::process::Command;
 use std::time::{Duration, Instant};
 use support::*;
@@ -418,6 +419,104 @@
     node.stand(&out);
 }
 
+#[test]
+fn a_successor_takes_clients_maintenance_and_what_is_known_and_the_old_moves_its_own() {
+    let (host, other) = (Host::new("s-1"), Host::new("s-2"));
+    let mut old = Node::start(&[&host], SOCKETS);
+    let (mut client, mut server) = old.stand(&host);
+    let mut servers = Vec::new();
+    let (_, mut watch) = old.called();
+    begin_watch(&mut watch);
+    // The successor's file knows nothing of this one.
+    chunk(&mut watch, &(list(42, false, &[other.entry("SERVING")]) + "\n"));
+    old.logged("ServerList { kind: Delta");
+    assert_eq!(old.operate("POST /form-hosts/s-1/maint"), "HTTP/1.1 200 OK");
+    // Some have connected and not yet asked, and a broken file does not matter: the old has a sound one.
+    let mut early: Vec<_> = (0..5).map(|_| old.connect()).collect();
+    let text = old.configure("{");
+    let mut new = old.successor();
+    old.logged("a successor takes clients");
+    old.configure(&text);
+    assert_eq!(old.operate("GET /healthcheck"), "HTTP/1.1 503 Service Unavailable");
+    assert_eq!(new.operate("GET /healthcheck"), "HTTP/1.1 200 OK");
+    assert!(new.called().0.contains("?watch=1&after=42 "));
+    // An id that is open there is an open one here.
+    let mut foreign = new.connect();
+    foreign.send("OPEN 1f 2f c=chat,d=2000,g=3f\r\n");
+    assert_eq!(foreign.rest(), ["ERR", "(end)"]);
+    let mut held: Vec<_> = (0..3).map(|_| new.stand(&other)).collect();
+    for (at, peer) in early.iter_mut().enumerate() {
+        peer.send(&format!("OPEN {at:x}a 2f c=chat,d=2000\r\n"));
+        let mut server = other.accept();
+        server.line();
+        server.send("UP 1\r\n");
+        assert_eq!(peer.line(), "UP 1");
+        servers.push(server);
+    }
+    // Both are one balancer to the operators.
+    assert_eq!(old.operate("POST /form-hosts/s-1/ready"), "HTTP/1.1 200 OK");
+    new.logged("begins: false");
+    held.push(new.stand(&host));
+    assert_eq!(new.operate("POST /form-hosts/s-1/maint"), "HTTP/1.1 200 OK");
+    old.logged("begins: false");
+    old.logged("begins: true");
+    assert_eq!(new.operate("POST /form-hosts/s-1/ready"), "HTTP/1.1 200 OK");
+    let told = Instant::now();
+    old.signal("TERM");
+    assert_eq!(client.rest(), ["MOVE", "(end)"]);
+    assert!(server.line().starts_with('('));
+    for mut peer in early {
+        assert_eq!(peer.rest(), ["MOVE", "(end)"]);
+    }
+    drop(client);
+    assert!(old.ended().success());
+    assert!(told.elapsed() < Duration::from_millis(3_500), "{:?}", told.elapsed());
+    new.logged("the process before has ended");
+    new.stand(&host);
+}
+
+#[test]
+fn a_successor_that_ends_before_it_is_needed_leaves_the_old_serving() {
+    let host = Host::new("s-1");
+    let mut old = Node::start(&[&host], SOCKETS);
+    for _ in 0..2 {
+        let mut new = old.successor();
+        old.logged("a successor takes clients");
+        let (mut client, _server) = new.stand(&host);
+        new.signal("KILL");
+        new.ended();
+        assert!(client.line().starts_with('('));
+        old.logged("takes clients again");
+        old.stand(&host);
+        assert_eq!(old.operate("GET /healthcheck"), "HTTP/1.1 200 OK");
+    }
+}
+
+#[test]
+fn a_stale_socket_a_bad_snapshot_and_a_silent_predecessor_lead_to_a_plain_start() {
+    use std::os::unix::net::UnixListener;
+    let bind = |path: &std::path::Path| UnixListener::bind(path).expect("the folder is there");
+    let answer = |answer: &'static str| {
+        move |path: &std::path::Path| {
+            let listener = bind(path);
+            std::thread::spawn(move || {
+                let mut asked = listener.accept().expect("the successor asks").0;
+                asked.write_all(answer.as_bytes()).expect("it listens");
+                let _ = asked.read(&mut [0; 64]);
+                asked.read(&mut [0; 64])
+            });
+        }
+    };
+    let host = Host::new("s-1");
+    let started = Instant::now();
+    let serves = |node: Node| drop(node.stand(&host));
+    serves(Node::start_beside(&[&host], SOCKETS, |path| drop(bind(path))));
+    serves(Node::start_beside(&[&host], SOCKETS, answer("{\"version\":2}\n")));
+    serves(Node::start_beside(&[&host], SOCKETS, answer("{\"version\":1")));
+    serves(Node::start_beside(&[&host], SOCKETS, bind));
+    assert!(started.elapsed() < Duration::from_secs(5), "{:?}", started.elapsed());
+}
+
 #[test]
 fn a_bad_configuration_ends_the_start_with_one_line() {
     let output = Command::new(env!("CARGO_BIN_EXE_marllink")).env("NODE_CONFIG", "/nowhere").output();
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -122,6 +122,15 @@
     format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, entries.join(","))
 }
 
+/// A folder of a balancer's own, gone with the last that uses it.
+struct Tmp(std::path::PathBuf);
+
+impl Drop for Tmp {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// A running balancer.
 pub struct Node {
     child: Child,
@@ -129,13 +138,23 @@
     admin: SocketAddr,
     log: BufReader<std::process::ChildStderr>,
     pub discovery: TcpListener,
-    config: std::path::PathBuf,
+    /// Its own; shared with its successor.
+    tmp: std::rc::Rc<Tmp>,
     opened: std::cell::Cell<u32>,
 }
 
 impl Node {
     /// Starts one that knows these hosts, all serving, with so many descriptors.
     pub fn start(hosts: &[&Host], sockets: usize) -> Self {
+        Self::start_beside(hosts, sockets, |_| ())
+    }
+
+    /// The same, once `beside` has laid something at the place where successors ask.
+    pub fn start_beside<T>(
+        hosts: &[&Host],
+        sockets: usize,
+        beside: impl FnOnce(&std::path::Path) -> T,
+    ) -> Self {
         let entries: Vec<_> = hosts.iter().map(|h| h.entry("SERVING")).collect();
         let discovery = listen();
         let address = || listen().local_addr().expect("it listens");
@@ -150,18 +169,39 @@
             discovery.local_addr().expect("it listens"),
             list(41, true, &entries),
         );
-        let path =
-            std::env::temp_dir().join(format!("marllink-{}.json", listen.to_string().replace(':', "-")));
-        std::fs::write(&path, config).expect("a file can be written");
+        let tmp = std::env::temp_dir().join(format!("marllink-{}", listen.to_string().replace(':', "-")));
+        std::fs::create_dir_all(&tmp).expect("a folder can be made");
+        std::fs::write(tmp.join("config.json"), config).expect("a file can be written");
+        let _beside = beside(&tmp.join(format!("marllink-{listen}.sock")));
+        Self::spawn(listen, admin, discovery, std::rc::Rc::new(Tmp(tmp)), 0)
+    }
+
+    /// Starts the program again while this one runs.
+    pub fn successor(&self) -> Self {
+        let discovery = self.discovery.try_clone().expect("a descriptor is free");
+        let admin = listen().local_addr().expect("it listens");
+        Self::spawn(self.listen, admin, discovery, self.tmp.clone(), self.opened.get())
+    }
+
+    fn spawn(
+        listen: SocketAddr,
+        admin: SocketAddr,
+        discovery: TcpListener,
+        tmp: std::rc::Rc<Tmp>,
+        opened: u32,
+    ) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_marllink"))
-            .env("NODE_CONFIG", &path)
+            .env("NODE_CONFIG", tmp.0.join("config.json"))
+            .env("NODE_LISTEN", listen.to_string())
             .env("NODE_DISCOVERY", discovery.local_addr().expect("it listens").to_string())
+            .env("NODE_ADMIN", admin.to_string())
+            .env("TMPDIR", &tmp.0)
             .env("MARLLINK_LOG", "debug")
             .stderr(Stdio::piped())
             .spawn()
             .expect("the balancer starts");
         let log = BufReader::new(child.stderr.take().expect("it is piped"));
-        let mut node = Self { child, listen, admin, log, discovery, config: path, opened: 0.into() };
+        let mut node = Self { child, listen, admin, log, discovery, tmp, opened: opened.into() };
         node.logged("listening");
         node
     }
@@ -235,8 +275,9 @@
 
     /// Replaces the text of the configuration, and gives what it was.
     pub fn configure(&self, text: &str) -> String {
-        let old = std::fs::read_to_string(&self.config).expect("it was written");
-        std::fs::write(&self.config, text).expect("a file can be written");
+        let file = self.tmp.0.join("config.json");
+        let old = std::fs::read_to_string(&file).expect("it was written");
+        std::fs::write(&file, text).expect("a file can be written");
         old
     }
 
@@ -257,7 +298,7 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        let _ = (self.child.kill(), self.child.wait(), std::fs::remove_file(&self.config));
+        let _ = (self.child.kill(), self.child.wait());
         let mut log = String::new();
         // A task that panics takes only its own connection along; here no task may.
         if self.log.read_to_string(&mut log).is_ok() && !std::thread::panicking() {
