--- a/adapter/tests/process.rs
+++ b/adapter/tests/process.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Output, Stdio};
 
 const SETTINGS: &str = r#"{"index": 0, "balancers": 1, "zone": 0, "discovery": "pushed", "news": {"to": "skip"},
-    "classes": [{"goalTimeMs": 300.0, "semantics": "repeatable", "importance": 1.0}],
+    "classes": [{"name": "chat", "goalTimeMs": 300.0, "deadlineMs": 1000.0, "semantics": "repeatable", "importance": 1.0}],
     "bounds": {"connectTimeoutMs": 250.0, "maxAttempts": 4},
     "invariants": {"askWithinMs": 10000.0, "coldFrom": 0.1, "warmAfterMs": 20000.0, "tipMultiple": 3.0,
         "overloadForMs": 3000.0}}"#;
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -8,6 +8,7 @@
 use crate::protocol::line::{self, Hello, LONGEST, Opening};
 use crate::pump;
 use crate::ring::End;
+use crate::tuning::Tuning;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::net::Shutdown;
@@ -47,8 +48,8 @@
     pub clock: Clock,
     /// For the sockets.
     pub descriptors: Rc<Descriptors>,
-    /// What a client is told that comes while all descriptors are in use; 0 for nothing.
-    pub retry_after_ms: Millis,
+    /// For what a client is told that comes while all descriptors are in use.
+    pub tuning: Rc<Tuning>,
     /// Of connections that have not asked for anything sound yet or are being turned away.
     pub openings: Rc<Places>,
     /// Whether clients are accepted.
@@ -116,7 +117,9 @@
                             Err(wrong) => wrong,
                         },
                         None => {
-                            self.turn_away(&stream, &line::busy(self.retry_after_ms), until).await;
+                            let limits = &self.tuning.now().decisions.limits;
+                            let wait = if limits.retry_after { limits.max_retry_after_ms } else { 0.0 };
+                            self.turn_away(&stream, &line::busy(wait), until).await;
                             return None;
                         }
                     }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -60,15 +60,20 @@
     load_with(variable, read, false)
 }
 
-/// Reads the configuration again: the whole file is checked as at the start.
+/// Reads the configuration again: the whole file is checked as at the start, and it must have every
+/// key that the one in force has.
 ///
 /// # Errors
 /// Says in one line what is missing or wrong, and where.
 pub fn reload(
     variable: impl Fn(&str) -> Option<String>,
     read: impl Fn(&str) -> std::io::Result<Vec<u8>>,
+    in_force: &str,
 ) -> Result<Config, String> {
-    load_with(variable, read, true)
+    let config = load_with(variable, read, true)?;
+    let value = |text: &str| serde_json::from_str::<serde_json::Value>(text).map_err(|e| e.to_string());
+    marllink_settings::complete(&value(in_force)?, &value(&config.text)?)?;
+    Ok(config)
 }
 
 /// The configuration of a process that takes the place of another: what was in force there, though
@@ -100,7 +105,6 @@
             ("admin", self.admin != running.admin),
             ("seed", self.seed != running.seed),
             ("limits", self.sockets != running.sockets),
-            ("settings", self.settings != running.settings),
         ];
         differs.into_iter().filter_map(|(name, differs)| differs.then_some(name)).collect()
     }
@@ -174,10 +178,17 @@
         };
         let changed = FILE.replace("10.0.0.4:8000", "10.0.0.5:8000").replace(":2,\"zone", ":3,\"zone");
         let running = load(variable, |_| Ok(FILE.as_bytes().to_vec())).expect("it is well formed");
-        let again = reload(variable, |_| Ok(changed.as_bytes().to_vec())).expect("it is well formed");
+        let again =
+            reload(variable, |_| Ok(changed.as_bytes().to_vec()), &running.text).expect("it is well formed");
         assert_eq!(running.discovery.to_string(), "127.0.0.8:1");
         assert_eq!(again.discovery.to_string(), "10.2.0.1:8500");
-        assert_eq!(again.only_at_start(&running), ["listen", "settings"]);
+        assert_eq!(again.only_at_start(&running), ["listen"]);
+        // What the variables tell does not hide that it is missing.
+        for key in ["name", "listen", "discovery", "known"] {
+            let short = FILE.replace(&format!("\"{key}\":"), "\"x\":");
+            let again = reload(variable, |_| Ok(short.as_bytes().to_vec()), &running.text);
+            assert!(again.is_err_and(|said| said.contains(key)), "{key}");
+        }
         assert_eq!(running.only_at_start(&running), [""; 0]);
     }
 
--- a/node/src/delay.rs
+++ b/node/src/delay.rs
@@ -74,6 +74,11 @@
         Self { bound: strictest_aim_ms / 3.0, hosts: BTreeMap::new() }
     }
 
+    /// The aim has changed.
+    pub fn tell_over(&mut self, strictest_aim_ms: Millis) {
+        self.bound = strictest_aim_ms / 3.0;
+    }
+
     /// A message took so long on this connection.
     pub fn sample(&mut self, now: Millis, server: ServerId, request: RequestId, took: Millis) {
         let host = self.hosts.entry(server).or_default();
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -13,8 +13,8 @@
 use crate::protocol::line::{self, Opening};
 use crate::protocol::report::{self, Report};
 use crate::ring::{End, Ring};
+use crate::tuning::Tuning;
 use marllink::{AttemptNo, ClassId, Event, NewRequest, Outcome, RequestId, ServerId, TenantId};
-use marllink_settings::Parsed;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -163,7 +163,7 @@
     clock: Clock,
     directory: Rc<Directory>,
     descriptors: Rc<Descriptors>,
-    settings: Parsed,
+    tuning: Rc<Tuning>,
     orders: mpsc::UnboundedSender<Order>,
     entries: RefCell<BTreeMap<RequestId, Entry>>,
     /// The ids, as clients gave them, of requests that are not over.
@@ -182,17 +182,16 @@
         clock: Clock,
         directory: Rc<Directory>,
         descriptors: Rc<Descriptors>,
-        settings: Parsed,
+        tuning: Rc<Tuning>,
         orders: mpsc::UnboundedSender<Order>,
     ) -> Rc<Self> {
-        let aims = settings.decisions.classes.iter().map(|c| c.message_aim_ms).filter(|aim| *aim > 0.0);
-        let delays = RefCell::new(Delays::new(aims.fold(f64::INFINITY, f64::min)));
+        let delays = RefCell::new(Delays::new(strictest_aim(&tuning)));
         Rc::new_cyclic(|me| Self {
             core,
             clock,
             directory,
             descriptors,
-            settings,
+            tuning,
             orders,
             entries: RefCell::default(),
             in_use: Rc::default(),
@@ -215,14 +214,13 @@
         pipe: Rc<Pipe>,
         patience_ms: Millis,
     ) -> Result<Ticket, &'static str> {
-        let names = &self.settings.names;
-        let index =
-            |names: &[String], wanted: &str| names.iter().position(|name| name == wanted).map(|at| at as u16);
+        let settings = self.tuning.now();
+        let names = &settings.names;
         // A class taken for another would be served as what it is not.
-        let class = index(&names.classes, &opening.class).ok_or("no such class")?;
+        let class = names.classes.number(&opening.class).ok_or("no such class")?;
         let tenant = match &opening.tenant {
             Some(tenant) if !names.tenants.is_empty() => {
-                index(&names.tenants, tenant).ok_or("no such tenant")?
+                names.tenants.number(tenant).ok_or("no such tenant")?
             }
             _ => 0,
         };
@@ -320,6 +318,11 @@
         }
     }
 
+    /// The settings in force have changed.
+    pub fn retuned(&self) {
+        self.delays.borrow_mut().tell_over(strictest_aim(&self.tuning));
+    }
+
     /// The ids of requests that are not over.
     pub fn ids_in_use(&self) -> Vec<u64> {
         let mut ids: Vec<_> = self.in_use.borrow().iter().copied().collect();
@@ -425,6 +428,12 @@
     }
 }
 
+fn strictest_aim(tuning: &Tuning) -> Millis {
+    let settings = tuning.now();
+    let aims = settings.decisions.classes.iter().map(|c| c.message_aim_ms).filter(|aim| *aim > 0.0);
+    aims.fold(f64::INFINITY, f64::min)
+}
+
 /// Ends a request for both sides: the client gets the end given, the attempt is called off.
 fn finish(entry: &mut Entry, end: End) {
     let reset = end == End::Reset;
@@ -450,7 +459,7 @@
         let attempt = AttemptNo(entry.attempts);
         entry.attempts = entry.attempts.saturating_add(1);
         let allowed = matches!(entry.phase, Phase::Waiting)
-            && entry.attempts <= self.settings.decisions.limits.max_attempts.max(1);
+            && entry.attempts <= self.tuning.now().decisions.limits.max_attempts.max(1);
         let way = self.directory.address(server).filter(|_| allowed);
         let Some((address, descriptor)) =
             way.and_then(|a| Some((a, self.descriptors.take(Purpose::Served)?)))
@@ -654,7 +663,7 @@
     /// The form host has answered.
     pub fn answered(&mut self, report: &Report) {
         if let Some(exchange) = self.exchange.upgrade() {
-            self.report = report::in_order(report, &exchange.settings.names.report_fields);
+            self.report = report::in_order(report, &exchange.tuning.now().names.report_fields);
             self.ok = true;
         }
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,6 +18,7 @@
 mod ring;
 mod server;
 mod shutdown;
+mod tuning;
 
 use clock::Clock;
 use config::Config;
@@ -89,25 +90,24 @@
 async fn run(config: Config, clock: Clock, heritage: Option<Heritage>) -> std::io::Result<()> {
     let term = shutdown::listen()?;
     let hangup = reload::listen()?;
-    let decisions = config.settings.decisions.clone();
-    let names = config.settings.names.clone();
-    let core = core::Core::new(clock.clone(), decisions.clone(), config.seed);
+    let core = core::Core::new(clock.clone(), config.settings.decisions.clone(), config.seed);
     let directory = Rc::new(directory::Directory::default());
     let descriptors = descriptors::Descriptors::new(config.sockets);
+    let tuning = tuning::Tuning::new(config.settings.clone());
     let (orders, to_servers) = tokio::sync::mpsc::unbounded_channel();
     let discovery = discovery::Discovery::new(
         &core,
         clock.clone(),
         directory.clone(),
         config.discovery,
-        names.zones.clone(),
+        config.settings.names.zones.clone(),
     );
     let exchange = exchange::Exchange::new(
         core.clone(),
         clock.clone(),
         directory.clone(),
         descriptors.clone(),
-        config.settings.clone(),
+        tuning.clone(),
         orders,
     );
     let requests: std::rc::Weak<dyn core::Requests> = Rc::downgrade(&exchange) as _;
@@ -122,11 +122,7 @@
         config.text.clone(),
     );
 
-    let servers = server::Servers {
-        clock: clock.clone(),
-        connect_timeout_ms: decisions.limits.connect_timeout_ms,
-        reports: !names.report_fields.is_empty(),
-    };
+    let servers = server::Servers { clock: clock.clone(), tuning: tuning.clone() };
     tokio::task::spawn_local(servers.run(to_servers));
     let path = handover::path(config.listen);
     let (listener, successors) = match heritage {
@@ -161,7 +157,7 @@
         clock: clock.clone(),
         openings: places::Places::new(descriptors.clone(), descriptors::Purpose::Opening),
         descriptors,
-        retry_after_ms: if decisions.limits.retry_after { decisions.limits.max_retry_after_ms } else { 0.0 },
+        tuning: tuning.clone(),
         serving: handover.serving.subscribe(),
         turned_away: Cell::default(),
     });
@@ -176,7 +172,7 @@
         () = clients.clone().accept(listener) => {}
         () = clients.tell() => {}
         () = exchange.watch_over() => {}
-        () = reload::follow(hangup, &config, &discovery) => {}
+        () = reload::follow(hangup, &config, &tuning, &handover) => {}
         () = shutdown::orderly(term, &clock, &handover) => {}
     }
     if *handover.serving.borrow() {
--- a/node/src/reload.rs
+++ b/node/src/reload.rs
@@ -1,7 +1,9 @@
 //! A new configuration while running: SIGHUP.
 
 use crate::config::{self, Config};
-use crate::discovery::Discovery;
+use crate::handover::Handover;
+use crate::tuning::Tuning;
+use marllink::Event;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Listens for SIGHUP from now on; one that came unheard would end the program.
@@ -12,18 +14,25 @@
     signal(SignalKind::hangup())
 }
 
-/// Reads the file again at each SIGHUP and goes over to the discovery that it names, for ever.
-/// Nothing is taken of a file that can't be read or is wrong.
-pub async fn follow(mut hangup: Signal, running: &Config, discovery: &Discovery) {
+/// Reads the file again at each SIGHUP and goes over to the settings and the discovery in it, for
+/// ever. Nothing is taken of a file that can't be read, lacks something or is wrong.
+pub async fn follow(mut hangup: Signal, running: &Config, tuning: &Tuning, handover: &Handover) {
     while hangup.recv().await.is_some() {
-        match config::reload(|name| std::env::var(name).ok(), |path| std::fs::read(path)) {
+        let in_force = handover.config.borrow().clone();
+        let read = config::reload(|name| std::env::var(name).ok(), |path| std::fs::read(path), &in_force);
+        match read {
             Ok(config) => {
-                tracing::info!("SIGHUP: discovery at {}", config.discovery);
+                tracing::info!("SIGHUP: new settings, and discovery at {}", config.discovery);
                 let fixed = config.only_at_start(running);
                 if !fixed.is_empty() {
                     tracing::warn!("SIGHUP: held as it was until the next start: {}", fixed.join(", "));
                 }
-                discovery.go_over_to(config.discovery);
+                // All at once: nothing can happen between these.
+                tuning.change(config.settings.follow(&tuning.now()));
+                handover.exchange.retuned();
+                handover.core.feed(Event::Settings(tuning.now().decisions.clone()));
+                handover.discovery.go_over_to(config.discovery);
+                handover.config.replace(config.text);
             }
             Err(message) => tracing::error!("SIGHUP: the configuration stays as it was: {message}"),
         }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -5,9 +5,11 @@
 use crate::protocol::line::{self, LONGEST, Reply};
 use crate::pump;
 use crate::ring::{End, Ring};
+use crate::tuning::Tuning;
 use marllink::Outcome;
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
@@ -21,10 +23,8 @@
 pub struct Servers {
     /// For the time limits.
     pub clock: Clock,
-    /// An attempt that has found no connection by then fails.
-    pub connect_timeout_ms: Millis,
-    /// Form hosts answer probes with a load report.
-    pub reports: bool,
+    /// For the time to connect in, and whether probes are answered with a load report.
+    pub tuning: Rc<Tuning>,
 }
 
 impl Servers {
@@ -79,7 +79,7 @@
     }
 
     async fn connect(&self, address: SocketAddr, wait_ms: Millis) -> Option<TcpStream> {
-        let limit = self.connect_timeout_ms.min(wait_ms);
+        let limit = self.tuning.now().decisions.limits.connect_timeout_ms.min(wait_ms);
         let stream = self.clock.within(limit, TcpStream::connect(address)).await?.ok()?;
         // Lines are short and must not wait for others.
         let _ = stream.set_nodelay(true);
@@ -170,7 +170,8 @@
     /// Asks a form host for its load.
     async fn probe(&self, probe: Probe) {
         let Probe { address, mut result, descriptor } = probe;
-        let question: &[u8] = if self.reports { b"STATS\r\n" } else { b"PING\r\n" };
+        let reports = !self.tuning.now().names.report_fields.is_empty();
+        let question: &[u8] = if reports { b"STATS\r\n" } else { b"PING\r\n" };
         let asking = async {
             let stream = self.connect(address, PROBE_MS).await?;
             pump::write_all(&stream, question).await.ok()?;
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -240,6 +240,58 @@
     assert!(node.ended().success());
 }
 
+#[test]
+fn new_settings_come_in_force_whole_or_not_at_all() {
+    let host = Host::new("s-1");
+    let mut node = Node::start(&[&host], SOCKETS);
+    let (mut client, mut server) = node.stand(&host);
+    let text = node.configure("");
+    let class =
+        text.split_once("\"classes\":[").and_then(|(_, rest)| rest.split_once(']')).expect("classes").0;
+    let sign = class.replace("chat", "sign").replace("repeatable", "once");
+    let retuned = text.replace(class, &sign).replace("\"maxAttempts\":3", "\"maxAttempts\":1");
+    let refused = [
+        String::new(),
+        retuned[..retuned.len() / 2].into(),
+        retuned.replace("\"known\":", "\"unknown\":"),
+        retuned.replace("\"mayCancel\":true,", ""),
+        retuned.replace("4800.0", "0"),
+        retuned.replace("\"maxAttempts\":1", "\"maxAttempts\":0"),
+    ];
+    for bad in refused {
+        node.configure(&bad);
+        node.signal("HUP");
+        let said = node.logged("SIGHUP");
+        assert!(said.contains("ERROR SIGHUP: the configuration stays as it was: "), "{said}");
+        node.stand(&host);
+    }
+    let ask = |node: &Node, id: u32, class: &str| {
+        let mut client = node.connect();
+        client.send(&format!("OPEN {id} 2f c={class},d=2000\r\n"));
+        client
+    };
+    assert_eq!(ask(&node, 1, "sign").rest(), ["ERR", "(end)"]);
+    node.configure(&retuned);
+    node.signal("HUP");
+    node.logged("SIGHUP: new settings");
+    node.logged("Settings(Settings");
+    // The class that is gone takes nothing new, and its connections stand.
+    assert_eq!(ask(&node, 2, "chat").rest(), ["ERR", "(end)"]);
+    client.send("still here\r\n");
+    assert_eq!(server.line(), "still here");
+    // The new one may not run twice, and there is one attempt.
+    let mut unsafe_client = ask(&node, 3, "sign");
+    let mut attempt = host.accept();
+    attempt.line();
+    attempt.reset();
+    assert_eq!(unsafe_client.rest(), ["ERR", "(end)"]);
+    let mut once = ask(&node, 4, "sign");
+    let mut attempt = host.accept();
+    attempt.line();
+    attempt.send("BUSY\r\n");
+    assert!(once.line().starts_with("BUSY"));
+}
+
 #[test]
 fn what_no_form_host_could_use_gets_an_error_and_reaches_none() {
     let host = Host::new("s-1");
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -163,7 +163,7 @@
             r#"{{"name":"n0","listen":"{listen}","admin":"{admin}","discovery":"{}","seed":"1","known":{},
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
             "settings":{{"index":0,"balancers":1,"zone":0,"azs":["a"],"discovery":"on_request",
-                "classes":[{{"name":"chat","goalTimeMs":800.0,"semantics":"repeatable","importance":1.0}}],
+                "classes":[{{"name":"chat","goalTimeMs":800.0,"deadlineMs":4800.0,"semantics":"repeatable","importance":1.0}}],
                 "bounds":{{"connectTimeoutMs":200.0,"maxAttempts":3,"mayCancel":true,"retryAfter":true,"maxRetryAfterMs":2000.0}},
                 "invariants":{{"askWithinMs":10000.0,"coldFrom":0.3,"warmAfterMs":9000.0,"tipMultiple":3.0,"overloadForMs":3000.0}}}}}}"#,
             discovery.local_addr().expect("it listens"),
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -7,6 +7,7 @@
     Class, Discovery, Effect, KeyScope, Limits, NodeId, Prices, ReportField, Rules, Settings, Tenant, ZoneId,
 };
 use serde::Deserialize;
+use serde_json::Value;
 
 /// What a key means is told in the wire's own words; keys that are not listed are skipped.
 #[derive(Deserialize)]
@@ -34,9 +35,9 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct BootClass {
-    #[serde(default)]
     name: String,
     goal_time_ms: f64,
+    deadline_ms: f64,
     semantics: String,
     #[serde(default)]
     dedup_scope: String,
@@ -117,29 +118,149 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Names {
     /// Of the request classes.
-    pub classes: Vec<String>,
+    pub classes: Table,
     /// Of the tenants; may be empty.
-    pub tenants: Vec<String>,
+    pub tenants: Table,
     /// Of the zones.
     pub zones: Vec<String>,
     /// Of the values in a load report; empty where servers report nothing.
     pub report_fields: Vec<String>,
 }
 
+/// Names by number. A number is never given to another name while the program runs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Table {
+    names: Vec<String>,
+    /// Those that are no longer in the settings, and that nothing new may bear.
+    withdrawn: Vec<bool>,
+}
+
+impl Table {
+    /// The number of a name that is in force.
+    #[must_use]
+    pub fn number(&self, name: &str) -> Option<u16> {
+        let found = self.names.iter().zip(&self.withdrawn).position(|(n, withdrawn)| n == name && !withdrawn);
+        found.map(|at| at as u16)
+    }
+
+    /// True if nothing is named.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
+    /// A table and its values that keep the numbers of those before: what is no longer named stays
+    /// in its place, and what is new comes after.
+    fn follow<T: Clone>(self, values: Vec<T>, before: &Self, old: &[T]) -> (Self, Vec<T>) {
+        let (mut table, mut all) = (before.clone(), old.to_vec());
+        table.withdrawn.fill(true);
+        for (name, value) in self.names.into_iter().zip(values) {
+            match table.names.iter().position(|n| *n == name) {
+                Some(at) => (table.withdrawn[at], all[at]) = (false, value),
+                None => {
+                    table.names.push(name);
+                    table.withdrawn.push(false);
+                    all.push(value);
+                }
+            }
+        }
+        (table, all)
+    }
+}
+
+impl FromIterator<String> for Table {
+    fn from_iter<I: IntoIterator<Item = String>>(names: I) -> Self {
+        let names: Vec<_> = names.into_iter().collect();
+        Self { withdrawn: vec![false; names.len()], names }
+    }
+}
+
+impl Parsed {
+    /// These settings in place of those before, while running: classes and tenants keep their
+    /// numbers by name, and what a node is stays as it was at its start.
+    #[must_use]
+    pub fn follow(self, before: &Self) -> Self {
+        let (names, old) = (&before.names, &before.decisions);
+        let (classes, class_values) =
+            self.names.classes.follow(self.decisions.classes, &names.classes, &old.classes);
+        let (tenants, tenant_values) =
+            self.names.tenants.follow(self.decisions.tenants, &names.tenants, &old.tenants);
+        Self {
+            decisions: Settings {
+                classes: class_values,
+                tenants: tenant_values,
+                node: old.node,
+                zone: old.zone,
+                zones: old.zones,
+                discovery: old.discovery,
+                ..self.decisions
+            },
+            names: Names { classes, tenants, zones: names.zones.clone(), ..self.names },
+        }
+    }
+}
+
+/// Checks that `new` has all that `old` has: every key of an object, and in lists of objects every key
+/// that all the old ones share. A default would hide that one is missing.
+///
+/// # Errors
+/// Names the first key that is missing.
+pub fn complete(old: &Value, new: &Value) -> Result<(), String> {
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => {
+            for (key, value) in old {
+                let now = new.get(key).ok_or_else(|| format!("no key \"{key}\""))?;
+                complete(value, now).map_err(|e| format!("{key}: {e}"))?;
+            }
+            Ok(())
+        }
+        (Value::Array(old), Value::Array(new)) => {
+            let Some(Value::Object(first)) = old.first() else { return Ok(()) };
+            let shared = first.keys().filter(|key| old.iter().all(|item| item.get(key).is_some()));
+            for key in shared {
+                if new.iter().any(|item| item.get(key).is_none()) {
+                    return Err(format!("no key \"{key}\""));
+                }
+            }
+            Ok(())
+        }
+        (Value::Object(_), _) => Err("no object".into()),
+        (Value::Array(_), _) => Err("no list".into()),
+        _ => Ok(()),
+    }
+}
+
 /// Reads the settings of one instance from their text.
 ///
 /// # Errors
-/// Fails if the text is no JSON, or if a figure that the decisions need is missing.
-pub fn parse(text: &[u8]) -> Result<Parsed, serde_json::Error> {
-    serde_json::from_slice(text).map(read)
+/// Fails if the text is no JSON, or if a figure that the decisions need is missing or not sound.
+pub fn parse(text: &[u8]) -> Result<Parsed, String> {
+    from_value(serde_json::from_slice(text).map_err(|e| e.to_string())?)
 }
 
 /// Reads the settings of one instance from JSON that has been parsed before.
 ///
 /// # Errors
-/// Fails if a figure that the decisions need is missing.
-pub fn from_value(value: serde_json::Value) -> Result<Parsed, serde_json::Error> {
-    serde_json::from_value(value).map(read)
+/// Fails if a figure that the decisions need is missing or not sound.
+pub fn from_value(value: Value) -> Result<Parsed, String> {
+    let boot: Boot = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    sound(&boot).map(|()| read(boot))
+}
+
+/// Figures that nothing could be done by, or only harm.
+fn sound(boot: &Boot) -> Result<(), String> {
+    let positive = |name: &str, figure: f64| {
+        if figure > 0.0 && figure.is_finite() { Ok(()) } else { Err(format!("{name} is {figure}")) }
+    };
+    for (at, class) in boot.classes.iter().enumerate() {
+        positive("deadlineMs", class.deadline_ms)?;
+        positive("goalTimeMs", class.goal_time_ms)?;
+        if boot.classes[..at].iter().any(|before| before.name == class.name) {
+            return Err(format!("two classes \"{}\"", class.name));
+        }
+    }
+    positive("connectTimeoutMs", boot.bounds.connect_timeout_ms)?;
+    positive("maxAttempts", f64::from(boot.bounds.max_attempts))
 }
 
 fn read(boot: Boot) -> Parsed {
@@ -214,3 +335,83 @@
         _ => Effect::Unsafe,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn settings() -> Value {
+        let class = |name: &str, importance: f64| {
+            json!({"name": name, "goalTimeMs": 800.0, "deadlineMs": 4800.0, "semantics": "repeatable",
+                "importance": importance})
+        };
+        json!({"index": 0, "balancers": 2, "zone": 0, "azs": ["a", "b"], "discovery": "on_request",
+            "classes": [class("view", 3.0), class("save", 5.0)],
+            "bounds": {"connectTimeoutMs": 200.0, "maxAttempts": 5},
+            "invariants": {"askWithinMs": 10000.0, "coldFrom": 0.3, "warmAfterMs": 9000.0, "tipMultiple": 3.0,
+                "overloadForMs": 3000.0}})
+    }
+
+    #[test]
+    fn classes_keep_their_numbers_and_one_that_vanished_takes_nothing_new() {
+        let first = from_value(settings()).expect("it is sound");
+        let mut next = settings();
+        next["classes"][0]["name"] = "sign".into();
+        next["classes"][0]["semantics"] = "once".into();
+        next["classes"][1]["importance"] = 7.0.into();
+        next["bounds"]["maxAttempts"] = 2.into();
+        let next = from_value(next).expect("it is sound").follow(&first);
+        let number = |parsed: &Parsed| ["view", "save", "sign"].map(|name| parsed.names.classes.number(name));
+        assert_eq!(number(&first), [Some(0), Some(1), None]);
+        assert_eq!(number(&next), [None, Some(1), Some(2)]);
+        let worths: Vec<_> = next.decisions.classes.iter().map(|c| c.worth).collect();
+        assert_eq!((worths, next.decisions.limits.max_attempts), (vec![3.0, 7.0, 3.0], 2));
+        assert_eq!(next.decisions.classes[2].effect, Effect::Unsafe);
+        // What has vanished may come back, under its old number.
+        let back = from_value(settings()).expect("it is sound").follow(&next);
+        assert_eq!(number(&back), [Some(0), Some(1), None]);
+    }
+
+    #[test]
+    fn a_file_that_lacks_any_key_or_has_a_figure_that_is_not_sound_is_refused() {
+        fn leaves(value: &Value, at: &str, all: &mut Vec<(String, String)>) {
+            let inner: Vec<_> = match value {
+                Value::Object(map) => map.iter().map(|(k, v)| (k.clone(), v)).collect(),
+                Value::Array(list) => list.iter().enumerate().map(|(i, v)| (i.to_string(), v)).collect(),
+                _ => Vec::new(),
+            };
+            for (key, value) in inner {
+                if key.parse::<usize>().is_err() {
+                    all.push((at.to_owned(), key.clone()));
+                }
+                leaves(value, &format!("{at}/{key}"), all);
+            }
+        }
+        let whole = settings();
+        let mut keys = Vec::new();
+        leaves(&whole, "", &mut keys);
+        assert_eq!(keys.len(), 25);
+        for (at, key) in keys {
+            let mut short = whole.clone();
+            let object = short.pointer_mut(&at).and_then(Value::as_object_mut).expect("an object");
+            object.remove(&key);
+            assert!(complete(&whole, &short).is_err(), "{at}/{key}");
+        }
+        assert_eq!(complete(&whole, &whole), Ok(()));
+        let wrong = [
+            ("/classes/1/deadlineMs", json!(0)),
+            ("/classes/1/deadlineMs", json!(-3.5)),
+            ("/classes/0/goalTimeMs", json!(0.0)),
+            ("/classes/0/name", json!("save")),
+            ("/bounds/maxAttempts", json!(0)),
+            ("/bounds/maxAttempts", json!(-1)),
+            ("/bounds/connectTimeoutMs", json!(0)),
+        ];
+        for (at, value) in wrong {
+            let mut bad = whole.clone();
+            *bad.pointer_mut(at).expect("it is there") = value;
+            assert!(from_value(bad).is_err(), "{at}");
+        }
+    }
+}
