Pass standing connections on to the successor instead of moving their clients

Ruled out: the handover of the door (none ended at it) and maintenance (no call late or wrong).

Now both sockets of an idle connection go over the link. What is not idle for a second is moved evenly; shares of a connection add up now instead of being rounded up.

pump::fill read once more after a ring had ended, if its socket became readable at the same moment; those bytes would have been lost to the successor.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::{Clock, Millis};
 use crate::descriptors::{Descriptors, Purpose};
-use crate::exchange::{Exchange, Pipe, Ticket};
+use crate::exchange::{Adopted, Exchange, Pipe, Ticket};
 use crate::places::{Place, Places};
 use crate::protocol::line::{self, Hello, LONGEST, Opening};
 use crate::pump;
@@ -14,7 +14,7 @@
 use std::net::Shutdown;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// A connection must have asked for something sound within this time of being accepted, however
 /// many lines it sends: a limit on each line could be drawn out for ever. Clients ask at once, and
@@ -83,6 +83,17 @@
         }
     }
 
+    /// Carries connections that another process has passed on, for ever.
+    pub async fn adopt(self: Rc<Self>, mut adopted: mpsc::UnboundedReceiver<Adopted>) {
+        while let Some(Adopted { socket, ticket, pipe, descriptor }) = adopted.recv().await {
+            let clients = self.clone();
+            tokio::task::spawn_local(async move {
+                clients.carry(&socket, ticket, &pipe).await;
+                pipe.part_from_client(socket, descriptor);
+            });
+        }
+    }
+
     /// Tells from time to time how many were turned away, if any were, for ever.
     pub async fn tell(&self) {
         loop {
@@ -145,10 +156,8 @@
         match taken {
             Some((ticket, descriptor)) => {
                 drop(place);
-                self.carry(&stream, ticket, pipe).await;
-                // Given back after the socket.
-                drop(stream);
-                drop(descriptor);
+                self.carry(&stream, ticket, &pipe).await;
+                pipe.part_from_client(stream, descriptor);
             }
             // The place is given back after the socket, as the newcomer needs the descriptor.
             None => drop(stream),
@@ -171,10 +180,10 @@
     }
 
     /// Carries one request and its connection.
-    async fn carry(&self, stream: &TcpStream, ticket: Ticket, pipe: Rc<Pipe>) {
+    async fn carry(&self, stream: &TcpStream, ticket: Ticket, pipe: &Pipe) {
         let reading = pump::fill(stream, &pipe.up, || {
             if pipe.standing() {
-                ticket.sent(&pipe);
+                ticket.sent(pipe);
             } else {
                 ticket.malformed();
             }
@@ -206,7 +215,7 @@
             if let Some(Some(end)) = self.clock.within(LINGER_MS, &mut reading).await {
                 pipe.up.end(end);
             }
-        } else if !pipe.down.broken() {
+        } else if !pipe.down.broken() && !pipe.handed_over() {
             self.drain(stream, TURN_AWAY_MS - OPENING_MS).await;
         }
     }
--- a/node/src/delay.rs
+++ b/node/src/delay.rs
@@ -43,6 +43,11 @@
         self.sent.front().map_or(0.0, |sent| now - sent.max(self.heard))
     }
 
+    /// True if no line waits for its answer.
+    pub fn none(&self) -> bool {
+        self.sent.is_empty()
+    }
+
     /// For how long the oldest line has had no answer.
     pub fn oldest(&self, now: Millis) -> Option<Millis> {
         self.sent.front().map(|sent| now - sent)
--- a/node/src/descriptors.rs
+++ b/node/src/descriptors.rs
@@ -116,6 +116,15 @@
     }
 }
 
+impl Descriptors {
+    /// One that comes with a socket from a predecessor, which has given it up: it is there already.
+    pub fn adopt(self: &Rc<Self>) -> Descriptor {
+        let used = &self.used[Purpose::Served as usize];
+        used.set(used.get() + 1);
+        Descriptor { pool: self.clone(), purpose: Purpose::Served }
+    }
+}
+
 impl Drop for Descriptor {
     fn drop(&mut self) {
         let used = &self.pool.used[self.purpose as usize];
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -10,6 +10,7 @@
 use crate::delay::{Delays, Waiting};
 use crate::descriptors::{Descriptor, Descriptors, Purpose};
 use crate::directory::Directory;
+use crate::protocol::handover::Connection;
 use crate::protocol::line::{self, Opening};
 use crate::protocol::report::{self, Report};
 use crate::ring::{End, Ring};
@@ -18,7 +19,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::rc::{Rc, Weak};
+use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 
 /// A client's answer is sent so long before it gives up: the way back takes time as well.
@@ -40,13 +43,63 @@
     pub down: Ring,
     standing: Cell<bool>,
     waiting: RefCell<Waiting>,
+    /// Its load, as last told.
+    load: Cell<f64>,
+    /// What the form host has said of the connection's end, if that was its last line.
+    pub last_word: Cell<Option<Outcome>>,
+    handoff: RefCell<Option<Rc<Handoff>>>,
 }
 
 impl Pipe {
     /// Two empty rings.
     pub fn new() -> Rc<Self> {
-        let (up, down) = (Ring::new(), Ring::new());
-        Rc::new(Self { up, down, standing: Cell::new(false), waiting: RefCell::default() })
+        Rc::new(Self {
+            up: Ring::new(),
+            down: Ring::new(),
+            standing: Cell::default(),
+            waiting: RefCell::default(),
+            load: Cell::default(),
+            last_word: Cell::default(),
+            handoff: RefCell::default(),
+        })
+    }
+
+    /// True once another process goes on with the connection.
+    pub fn handed_over(&self) -> bool {
+        self.handoff.borrow().is_some()
+    }
+
+    /// True if another process could go on with the connection from here.
+    fn idle(&self) -> bool {
+        self.up.idle() && self.down.idle() && self.waiting.borrow().none() && self.last_word.get().is_none()
+    }
+
+    /// Gives the client's socket back, once nothing is done with it any more: it is closed, or passed
+    /// on with the connection.
+    pub fn part_from_client(&self, socket: TcpStream, descriptor: Descriptor) {
+        self.part(socket, descriptor, |handoff| &handoff.client);
+    }
+
+    /// The same for the form host's.
+    pub fn part_from_host(&self, socket: TcpStream, descriptor: Descriptor) {
+        self.part(socket, descriptor, |handoff| &handoff.host);
+    }
+
+    fn part(
+        &self,
+        socket: TcpStream,
+        descriptor: Descriptor,
+        end: impl Fn(&Handoff) -> &RefCell<Option<Socket>>,
+    ) {
+        let handoff = self.handoff.borrow().clone();
+        match handoff.map(|handoff| (handoff, socket.into_std())) {
+            Some((handoff, Ok(socket))) => {
+                end(&handoff).replace(Some((socket.into(), descriptor)));
+                handoff.pass();
+            }
+            // The count is given back after the socket.
+            _ => drop(descriptor),
+        }
     }
 
     /// True once the form host has taken the connection.
@@ -55,11 +108,71 @@
     }
 }
 
+/// A socket that is passed on, and the count that goes back once it is closed here.
+pub type Socket = (OwnedFd, Descriptor);
+
+/// A connection on its way to another process.
+#[derive(Debug)]
+pub struct Passed {
+    /// What it is.
+    pub connection: Connection,
+    /// The client's socket and the form host's.
+    pub sockets: [Socket; 2],
+}
+
+/// Waits for both sides to give their sockets back.
+#[derive(Debug)]
+struct Handoff {
+    connection: Connection,
+    client: RefCell<Option<Socket>>,
+    host: RefCell<Option<Socket>>,
+    to: mpsc::UnboundedSender<Passed>,
+}
+
+impl Handoff {
+    fn pass(&self) {
+        match (self.client.take(), self.host.take()) {
+            (Some(client), Some(host)) => {
+                // If nobody takes it, it is closed.
+                let _ = self.to.send(Passed { connection: self.connection.clone(), sockets: [client, host] });
+            }
+            (client, host) => {
+                self.client.replace(client);
+                self.host.replace(host);
+            }
+        }
+    }
+}
+
+/// What the client side is to do with a connection that another process has passed on.
+#[derive(Debug)]
+pub struct Adopted {
+    /// The client's socket.
+    pub socket: TcpStream,
+    /// Its request.
+    pub ticket: Ticket,
+    /// The connection's two directions.
+    pub pipe: Rc<Pipe>,
+    /// For the socket.
+    pub descriptor: Descriptor,
+}
+
 /// What the server side is to do.
 #[derive(Debug)]
 pub enum Order {
     /// An attempt.
     Attempt(Attempt),
+    /// A connection that another process has passed on.
+    Standing {
+        /// The form host's socket.
+        socket: TcpStream,
+        /// The connection's two directions.
+        pipe: Rc<Pipe>,
+        /// Tells the exchange what becomes of it.
+        errand: Errand,
+        /// For the socket.
+        descriptor: Descriptor,
+    },
     /// A probe.
     Probe(Probe),
 }
@@ -165,6 +278,7 @@
     descriptors: Rc<Descriptors>,
     tuning: Rc<Tuning>,
     orders: mpsc::UnboundedSender<Order>,
+    adopted: mpsc::UnboundedSender<Adopted>,
     entries: RefCell<BTreeMap<RequestId, Entry>>,
     /// The ids, as clients gave them, of requests that are not over.
     in_use: Rc<RefCell<HashSet<u64>>>,
@@ -176,7 +290,8 @@
 }
 
 impl Exchange {
-    /// An exchange that hands its orders to the server side by `orders`.
+    /// An exchange that hands its orders to the server side by `orders`, and what it adopts to the
+    /// client side by `adopted`.
     pub fn new(
         core: Rc<Core>,
         clock: Clock,
@@ -184,6 +299,7 @@
         descriptors: Rc<Descriptors>,
         tuning: Rc<Tuning>,
         orders: mpsc::UnboundedSender<Order>,
+        adopted: mpsc::UnboundedSender<Adopted>,
     ) -> Rc<Self> {
         let delays = RefCell::new(Delays::new(strictest_aim(&tuning)));
         Rc::new_cyclic(|me| Self {
@@ -193,6 +309,7 @@
             descriptors,
             tuning,
             orders,
+            adopted,
             entries: RefCell::default(),
             in_use: Rc::default(),
             elsewhere: RefCell::default(),
@@ -335,15 +452,77 @@
         *self.elsewhere.borrow_mut() = ids.into_iter().collect();
     }
 
-    /// Moves this share of the connections that stand, at least one if there are any, oldest first.
-    pub fn move_share(&self, share: f64) {
-        let standing = self.ids(|e| matches!(e.phase, Phase::Standing));
-        let count = (standing.len() as f64 * share).ceil() as usize;
-        for id in standing.into_iter().take(count) {
+    /// Moves so many of the connections that stand, oldest first.
+    pub fn move_some(&self, count: usize) {
+        for id in self.ids(|e| matches!(e.phase, Phase::Standing)).into_iter().take(count) {
             self.move_client(id);
         }
     }
 
+    /// Connections that stand.
+    pub fn standing(&self) -> usize {
+        self.entries.borrow().values().filter(|e| matches!(e.phase, Phase::Standing)).count()
+    }
+
+    /// Has up to `most` connections of which nothing is under way passed on. Here they are over.
+    pub fn hand_off(&self, most: usize, to: &mpsc::UnboundedSender<Passed>) {
+        let mut entries = self.entries.borrow_mut();
+        let idle = |e: &&mut Entry| matches!(e.phase, Phase::Standing) && e.pipe.idle();
+        for entry in entries.values_mut().filter(idle).take(most) {
+            let Some(out) = &entry.out else { continue };
+            let connection = Connection {
+                id: entry.opening.id,
+                class: entry.opening.class.clone(),
+                server: out.server,
+                load: entry.pipe.load.get(),
+            };
+            let (client, host) = (RefCell::default(), RefCell::default());
+            *entry.pipe.handoff.borrow_mut() =
+                Some(Rc::new(Handoff { connection, client, host, to: to.clone() }));
+            entry.phase = Phase::Over;
+            entry.pipe.up.end(End::HandedOver);
+            entry.pipe.down.end(End::HandedOver);
+            out.call_off.call(Outcome::Cancelled);
+        }
+    }
+
+    /// Goes on with a connection that a predecessor has passed on.
+    pub fn adopt(&self, connection: Connection, client: TcpStream, host: TcpStream) {
+        let Connection { id, class, server, load } = connection;
+        // The predecessor may still tell that it holds this id, but it can't be open here.
+        let Some(id_in_use) = IdInUse::take(id, &self.in_use) else { return };
+        let number = self.tuning.now().names.classes.number_once(&class);
+        let (request, exchange) = (self.core.number_request(), self.me.upgrade().expect("it is in use"));
+        let pipe = Pipe::new();
+        pipe.standing.set(true);
+        pipe.load.set(load);
+        let call_off = Rc::new(CallOff::default());
+        let attempt = AttemptNo(0);
+        let entry = Entry {
+            _id: id_in_use,
+            opening: Rc::new(Opening::standing(id, class)),
+            pipe: pipe.clone(),
+            phase: Phase::Standing,
+            attempts: 1,
+            out: Some(Out { attempt, server, call_off: call_off.clone() }),
+            next: None,
+            held: true,
+        };
+        self.entries.borrow_mut().insert(request, entry);
+        // A class that was withdrawn before this process began has no number here, and counts as any.
+        let class = ClassId(number.unwrap_or(u16::MAX));
+        let new = NewRequest { request, class, ..NewRequest::default() };
+        self.core.feed(Event::OpenConnection { request: new, server });
+        self.core.feed(Event::ConnectionLoad { request, load });
+        let ticket = Ticket { exchange: exchange.clone(), id: request, wait_ms: f64::INFINITY };
+        let (sent_at, outcome) = (self.clock.now(), Outcome::Cancelled);
+        let errand = Errand { exchange, id: request, attempt, server, call_off, sent_at, outcome };
+        let descriptor = self.descriptors.adopt();
+        let _ = self.orders.send(Order::Standing { socket: host, pipe: pipe.clone(), errand, descriptor });
+        let descriptor = self.descriptors.adopt();
+        let _ = self.adopted.send(Adopted { socket: client, ticket, pipe, descriptor });
+    }
+
     /// Refuses every request that still waits.
     pub fn refuse_all(&self) {
         for id in self.ids(|e| matches!(e.phase, Phase::Waiting)) {
@@ -533,6 +712,12 @@
     wait_ms: Millis,
 }
 
+impl std::fmt::Debug for Ticket {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Ticket({:?})", self.id)
+    }
+}
+
 impl Ticket {
     /// How long the client still waited when the request was taken.
     pub fn wait_ms(&self) -> Millis {
@@ -622,6 +807,7 @@
     /// The form host has told the connection's load.
     pub fn load(&self, pipe: &Pipe, load: f64) {
         pipe.waiting.borrow_mut().heard(self.exchange.clock.now());
+        pipe.load.set(load);
         self.exchange.core.feed(Event::ConnectionLoad { request: self.id, load });
     }
 
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -9,7 +9,7 @@
 use crate::descriptors::Descriptors;
 use crate::directory::Directory;
 use crate::discovery::Discovery;
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, Passed, Socket};
 use crate::protocol::handover::{self as syntax, Hello, Holds, LONGEST, Snapshot, VERSION, Word};
 use marllink::Event;
 use rustix::net::{
@@ -17,15 +17,16 @@
     SendFlags, recvmsg, sendmsg,
 };
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Interest};
-use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use tokio::sync::{mpsc, watch};
 
 /// A predecessor must have told all within this time ...
@@ -34,6 +35,9 @@
 const TAKE_MS: Millis = 2_000.0;
 /// How often a predecessor tells what it holds, if that has changed.
 const TELL_MS: Millis = 50.0;
+/// How often connections are passed on, and how many at a time at most: others must not wait long.
+const PASS_MS: Millis = 20.0;
+const PASS_MOST: usize = 16;
 /// After a failed accept so long passes before the next.
 const PAUSE_MS: Millis = 10.0;
 
@@ -51,7 +55,7 @@
     /// Where the next successor asks.
     pub successors: UnixListener,
     /// The link to it.
-    link: UnixStream,
+    link: Link,
 }
 
 /// Asks a predecessor for all it has. `None` if there is none, or none that answers in time.
@@ -71,45 +75,117 @@
     }
 }
 
-async fn receive(mut link: UnixStream) -> io::Result<Heritage> {
-    link.write_all(&syntax::written(&Hello { version: VERSION })).await?;
-    let mut line = Vec::new();
-    let mut sockets: Vec<OwnedFd> = Vec::new();
-    while !line.ends_with(b"\n") {
-        link.readable().await?;
-        let mut bytes = [0; 16 * 1024];
+async fn receive(link: UnixStream) -> io::Result<Heritage> {
+    let mut link = Link { stream: Rc::new(link), read: Vec::new(), sockets: VecDeque::new() };
+    send(&link.stream, &syntax::written(&Hello { version: VERSION }), &[]).await?;
+    let line = link.line().await?;
+    let snapshot = syntax::snapshot(&line).ok_or_else(|| io::Error::other("no snapshot of this version"))?;
+    let [clients, successors] =
+        link.take_sockets().ok_or_else(|| io::Error::other("no listening sockets"))?;
+    let clients = TcpListener::from_std(clients.into())?;
+    let successors = UnixListener::from_std(successors.into())?;
+    Ok(Heritage { snapshot, clients, successors, link })
+}
+
+/// One end of a link: lines, and the sockets that came with them.
+pub struct Link {
+    stream: Rc<UnixStream>,
+    read: Vec<u8>,
+    sockets: VecDeque<OwnedFd>,
+}
+
+impl Link {
+    /// The next line. May be given up while it waits; nothing is lost by that.
+    async fn line(&mut self) -> io::Result<Vec<u8>> {
+        let mut seen = 0;
+        loop {
+            if let Some(end) = self.read[seen..].iter().position(|b| *b == b'\n') {
+                return Ok(self.read.drain(..=seen + end).collect());
+            }
+            seen = self.read.len();
+            if seen > LONGEST {
+                return Err(io::Error::other("a line without an end"));
+            }
+            self.stream.readable().await?;
+            let mut bytes = [0; 16 * 1024];
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
+            let mut control = RecvAncillaryBuffer::new(&mut space);
+            let got = self.stream.try_io(Interest::READABLE, || {
+                let into = &mut [IoSliceMut::new(&mut bytes)];
+                Ok(recvmsg(&*self.stream, into, &mut control, RecvFlags::CMSG_CLOEXEC)?.bytes)
+            });
+            match got {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(got) => self.read.extend_from_slice(&bytes[..got]),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(e) => return Err(e),
+            }
+            for message in control.drain() {
+                if let RecvAncillaryMessage::ScmRights(sockets) = message {
+                    self.sockets.extend(sockets);
+                }
+            }
+        }
+    }
+
+    /// The two sockets that came with a line.
+    fn take_sockets(&mut self) -> Option<[OwnedFd; 2]> {
+        Some([self.sockets.pop_front()?, self.sockets.pop_front()?])
+    }
+
+    /// Hears words until the link ends; `heard` is given the sockets as well.
+    async fn hear(&mut self, heard: impl Fn(Word, &mut Self)) {
+        while let Ok(line) = self.line().await {
+            match syntax::read(&line) {
+                Some(word) => heard(word, self),
+                None => return,
+            }
+        }
+    }
+}
+
+/// Sends a line, with sockets if there are any; they go with its first byte.
+async fn send(link: &UnixStream, mut line: &[u8], mut sockets: &[BorrowedFd<'_>]) -> io::Result<()> {
+    while !line.is_empty() {
+        link.writable().await?;
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
-        let mut control = RecvAncillaryBuffer::new(&mut space);
-        let got = link.try_io(Interest::READABLE, || {
-            let into = &mut [IoSliceMut::new(&mut bytes)];
-            Ok(recvmsg(&link, into, &mut control, RecvFlags::CMSG_CLOEXEC)?.bytes)
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        if !sockets.is_empty() {
+            control.push(SendAncillaryMessage::ScmRights(sockets));
+        }
+        let sent = link.try_io(Interest::WRITABLE, || {
+            Ok(sendmsg(link, &[IoSlice::new(line)], &mut control, SendFlags::NOSIGNAL)?)
         });
-        let got = match got {
-            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => continue,
-            got => got?,
-        };
-        line.extend_from_slice(&bytes[..got]);
-        for message in control.drain() {
-            if let RecvAncillaryMessage::ScmRights(fds) = message {
-                sockets.extend(fds);
-            }
+        match sent {
+            Ok(sent) => (line, sockets) = (&line[sent..], &[]),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
         }
-        if line.len() as u64 > LONGEST {
-            return Err(io::Error::other("a snapshot without an end"));
+    }
+    Ok(())
+}
+
+/// Something to say, and the sockets that go with it, which are closed here once it is said.
+struct Said {
+    word: Word,
+    sockets: Vec<Socket>,
+}
+
+impl From<Word> for Said {
+    fn from(word: Word) -> Self {
+        Self { word, sockets: Vec::new() }
+    }
+}
+
+/// Says words until the link breaks.
+async fn say_all(link: Rc<UnixStream>, mut words: mpsc::UnboundedReceiver<Said>) {
+    while let Some(Said { word, sockets }) = words.recv().await {
+        let borrowed: Vec<_> = sockets.iter().map(|(socket, _)| socket.as_fd()).collect();
+        if send(&link, &syntax::written(&word), &borrowed).await.is_err() {
+            return;
         }
     }
-    let snapshot = syntax::snapshot(&line).ok_or_else(|| io::Error::other("no snapshot of this version"))?;
-    let [clients, successors] =
-        <[OwnedFd; 2]>::try_from(sockets).map_err(|_| io::Error::other("no listening sockets"))?;
-    let clients = std::net::TcpListener::from(clients);
-    let successors = std::os::unix::net::UnixListener::from(successors);
-    Ok(Heritage {
-        snapshot,
-        clients: TcpListener::from_std(clients)?,
-        successors: UnixListener::from_std(successors)?,
-        link,
-    })
+    std::future::pending().await
 }
 
 /// Listens for a successor. What lies there from before is stale: nobody has answered.
@@ -144,7 +220,7 @@
     /// SIGTERM has come: this process will not serve again.
     pub leaving: Cell<bool>,
     /// The links that are open, to say something by.
-    links: RefCell<Vec<mpsc::UnboundedSender<Word>>>,
+    links: RefCell<Vec<mpsc::UnboundedSender<Said>>>,
 }
 
 impl Handover {
@@ -175,27 +251,36 @@
     /// Operators take a form host out or put it back: both processes are told.
     pub fn maintain(&self, server: marllink::ServerId, begins: bool) {
         self.core.feed(Event::Maintenance { server, begins });
-        self.links.borrow_mut().retain(|link| link.send(Word::Maintenance { server, begins }).is_ok());
+        self.links.borrow_mut().retain(|link| link.send(Word::Maintenance { server, begins }.into()).is_ok());
     }
 
     /// Begins where the predecessor stands: what it holds counts here as well. To be called once
     /// clients can be taken.
-    pub fn follow(self: &Rc<Self>, heritage: Snapshot, link: UnixStream) {
+    pub fn follow(self: &Rc<Self>, heritage: Snapshot, mut link: Link) {
         self.core.feed(Event::TakeOver(heritage.knowledge));
         self.predecessor_holds(heritage.holds);
         let (say, words) = mpsc::unbounded_channel();
-        let _ = say.send(Word::Taking);
+        let _ = say.send(Word::Taking.into());
         self.links.borrow_mut().push(say);
         let this = self.clone();
         tokio::task::spawn_local(async move {
-            let (reader, writer) = link.into_split();
-            let heard = |word| match word {
+            let writer = link.stream.clone();
+            let heard = |word, link: &mut Link| match word {
                 Word::Holds(holds) => this.predecessor_holds(holds),
                 Word::Maintenance { server, begins } => this.core.feed(Event::Maintenance { server, begins }),
+                Word::Connection(told) => {
+                    let Some([client, host]) = link.take_sockets() else { return };
+                    match (connection(client), connection(host)) {
+                        (Ok(client), Ok(host)) => this.exchange.adopt(told, client, host),
+                        (Err(error), _) | (_, Err(error)) => {
+                            tracing::error!(%error, "a connection could not be taken over");
+                        }
+                    }
+                }
                 Word::Taking => {}
             };
             tokio::select! {
-                () = hear(BufReader::new(reader), heard) => {}
+                () = link.hear(heard) => {}
                 () = say_all(writer, words) => {}
             }
             tracing::info!("the process before has ended");
@@ -233,35 +318,35 @@
 
     async fn hand_over(&self, link: UnixStream, clients: &TcpListener, successors: &UnixListener) {
         let (say, words) = mpsc::unbounded_channel();
+        let mut link = Link { stream: Rc::new(link), read: Vec::new(), sockets: VecDeque::new() };
+        let writer = link.stream.clone();
         let telling = async {
-            let (reader, mut writer) = link.into_split();
-            let mut reader = BufReader::new(reader);
-            let hello = line(&mut reader).await?;
+            let hello = link.line().await.ok()?;
             if syntax::read::<Hello>(&hello)?.version != VERSION {
                 return None;
             }
             let told = syntax::written(&self.snapshot());
             // What changes from here on goes over the link.
             self.links.borrow_mut().push(say.clone());
-            let sent = send_sockets(writer.as_ref(), &told, clients, successors).await.ok()?;
-            writer.write_all(&told[sent..]).await.ok()?;
-            matches!(syntax::read(&line(&mut reader).await?), Some(Word::Taking)).then_some((reader, writer))
+            send(&writer, &told, &[clients.as_fd(), successors.as_fd()]).await.ok()?;
+            matches!(syntax::read(&link.line().await.ok()?), Some(Word::Taking)).then_some(())
         };
-        let Some(Some((reader, writer))) = self.clock.within(TAKE_MS, telling).await else {
+        let Some(Some(())) = self.clock.within(TAKE_MS, telling).await else {
             tracing::warn!("a successor asked and did not take over");
             return;
         };
         tracing::info!(requests = self.exchange.len(), "a successor takes clients");
         self.serving.send_replace(false);
-        let heard = |word| {
+        let heard = |word, _: &mut Link| {
             if let Word::Maintenance { server, begins } = word {
                 self.core.feed(Event::Maintenance { server, begins });
             }
         };
         tokio::select! {
-            () = hear(reader, heard) => {}
+            () = link.hear(heard) => {}
             () = say_all(writer, words) => {}
-            () = self.tell_holds(say) => {}
+            () = self.tell_holds(&say) => {}
+            () = self.pass_connections(&say) => {}
         }
         if !self.leaving.get() {
             tracing::warn!("the successor has ended: this process takes clients again");
@@ -271,18 +356,35 @@
     }
 
     /// Tells what this process holds whenever that has changed, for ever.
-    async fn tell_holds(&self, say: mpsc::UnboundedSender<Word>) {
+    async fn tell_holds(&self, say: &mpsc::UnboundedSender<Said>) {
         let mut told = None;
         loop {
             let holds = self.holds();
             if told.as_ref() != Some(&holds) {
-                let _ = say.send(Word::Holds(holds.clone()));
+                let _ = say.send(Word::Holds(holds.clone()).into());
                 told = Some(holds);
             }
             self.clock.sleep(TELL_MS).await;
         }
     }
 
+    /// Once SIGTERM has come, passes on what stands and can be passed, for ever.
+    async fn pass_connections(&self, say: &mpsc::UnboundedSender<Said>) {
+        let (to, mut passed) = mpsc::unbounded_channel();
+        loop {
+            tokio::select! {
+                Some(Passed { connection, sockets }) = passed.recv() => {
+                    let _ = say.send(Said { word: Word::Connection(connection), sockets: sockets.into() });
+                }
+                () = self.clock.sleep(PASS_MS) => {
+                    if self.leaving.get() {
+                        self.exchange.hand_off(PASS_MOST, &to);
+                    }
+                }
+            }
+        }
+    }
+
     fn holds(&self) -> Holds {
         Holds {
             descriptors: self.descriptors.trim(),
@@ -309,54 +411,12 @@
 
 impl Heritage {
     /// Takes it apart: the snapshot, the link, and the two sockets that are listened on.
-    pub fn parts(self) -> (Snapshot, UnixStream, TcpListener, UnixListener) {
+    pub fn parts(self) -> (Snapshot, Link, TcpListener, UnixListener) {
         (self.snapshot, self.link, self.clients, self.successors)
     }
 }
 
-/// Sends the first bytes with the sockets; tells how many.
-async fn send_sockets(
-    link: &UnixStream,
-    bytes: &[u8],
-    clients: &TcpListener,
-    successors: &UnixListener,
-) -> io::Result<usize> {
-    loop {
-        link.writable().await?;
-        let sockets = [clients.as_fd(), successors.as_fd()];
-        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
-        let mut control = SendAncillaryBuffer::new(&mut space);
-        control.push(SendAncillaryMessage::ScmRights(&sockets));
-        let sent = link.try_io(Interest::WRITABLE, || {
-            Ok(sendmsg(link, &[IoSlice::new(bytes)], &mut control, SendFlags::NOSIGNAL)?)
-        });
-        match sent {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            sent => return sent,
-        }
-    }
-}
-
-/// Reads one line; `None` if the link ends or breaks before, or it is too long.
-async fn line(reader: &mut (impl AsyncBufReadExt + Unpin)) -> Option<Vec<u8>> {
-    let mut line = Vec::new();
-    reader.take(LONGEST).read_until(b'\n', &mut line).await.ok()?;
-    line.ends_with(b"\n").then_some(line)
-}
-
-/// Hears words until the link ends.
-async fn hear(mut reader: impl AsyncBufReadExt + Unpin, heard: impl Fn(Word)) {
-    while let Some(word) = line(&mut reader).await.and_then(|line| syntax::read(&line)) {
-        heard(word);
-    }
-}
-
-/// Says words until the link breaks.
-async fn say_all(mut writer: impl AsyncWriteExt + Unpin, mut words: mpsc::UnboundedReceiver<Word>) {
-    while let Some(word) = words.recv().await {
-        if writer.write_all(&syntax::written(&word)).await.is_err() {
-            return;
-        }
-    }
-    std::future::pending().await
+/// A socket of a connection, as this runtime uses it.
+fn connection(socket: OwnedFd) -> io::Result<TcpStream> {
+    TcpStream::from_std(socket.into())
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -95,6 +95,7 @@
     let descriptors = descriptors::Descriptors::new(config.sockets);
     let tuning = tuning::Tuning::new(config.settings.clone());
     let (orders, to_servers) = tokio::sync::mpsc::unbounded_channel();
+    let (adopted, to_clients) = tokio::sync::mpsc::unbounded_channel();
     let discovery = discovery::Discovery::new(
         &core,
         clock.clone(),
@@ -109,6 +110,7 @@
         descriptors.clone(),
         tuning.clone(),
         orders,
+        adopted,
     );
     let requests: std::rc::Weak<dyn core::Requests> = Rc::downgrade(&exchange) as _;
     core.connect(requests, discovery.clone());
@@ -170,6 +172,7 @@
     handover.serving.send_replace(true);
     tokio::select! {
         () = clients.clone().accept(listener) => {}
+        () = clients.clone().adopt(to_clients) => {}
         () = clients.tell() => {}
         () = exchange.watch_over() => {}
         () = reload::follow(hangup, &config, &tuning, &handover) => {}
--- a/node/src/protocol/handover.rs
+++ b/node/src/protocol/handover.rs
@@ -8,7 +8,7 @@
 /// The version of all that is written here. A successor that reads another starts plainly.
 pub const VERSION: u32 = 1;
 /// No snapshot comes near this; a longer line is refused.
-pub const LONGEST: u64 = 16 * 1024 * 1024;
+pub const LONGEST: usize = 16 * 1024 * 1024;
 
 /// What a successor begins with.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -54,6 +54,8 @@
     Taking,
     /// What the predecessor holds now.
     Holds(Holds),
+    /// The predecessor passes this connection on, with the client's socket and the form host's.
+    Connection(Connection),
     /// Operators have taken a form host out, or put it back.
     Maintenance {
         /// Which.
@@ -63,6 +65,19 @@
     },
 }
 
+/// A connection that stands and of which nothing is under way.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Connection {
+    /// Its id, as the client gave it.
+    pub id: u64,
+    /// Its class, by name.
+    pub class: String,
+    /// The form host that holds it.
+    pub server: ServerId,
+    /// Its load, as last told.
+    pub load: f64,
+}
+
 /// A value as it is written, its line end included.
 pub fn written(value: &impl Serialize) -> Vec<u8> {
     // None of the types here can fail to be written.
--- a/node/src/protocol/line.rs
+++ b/node/src/protocol/line.rs
@@ -36,6 +36,11 @@
 }
 
 impl Opening {
+    /// What is left of one whose connection stands: it is never sent again.
+    pub fn standing(id: u64, class: String) -> Self {
+        Self { id, class, ..Self::default() }
+    }
+
     /// The line for a form host: unchanged, but that it tells how long the balancer will wait.
     pub fn for_host(&self, wait_ms: f64) -> Vec<u8> {
         let mut line = self.line[..self.wait_at.start].to_vec();
--- a/node/src/pump.rs
+++ b/node/src/pump.rs
@@ -18,6 +18,10 @@
             readable = stream.readable() => readable,
             () = ring.closed() => return None,
         };
+        // Both may be true. What would be read now would be lost to who goes on with the connection.
+        if ring.ended() {
+            return None;
+        }
         match readable.and_then(|()| ring.fill(|room| stream.try_read(room))) {
             Ok(0) => return Some(End::Closed),
             Ok(_) if arrived() => {}
@@ -47,6 +51,7 @@
                 reset(stream);
                 return false;
             }
+            Some(End::HandedOver) => return false,
             Some(End::Farewell(line)) => {
                 // Who does not take its last line in time does not get it.
                 let _ = write_all(stream, line.as_bytes()).await;
--- a/node/src/ring.rs
+++ b/node/src/ring.rs
@@ -20,6 +20,8 @@
     Reset,
     /// This line goes out, and then the connection is closed in both directions.
     Farewell(String),
+    /// Another process goes on with the connection. Only a ring that is idle may end so.
+    HandedOver,
 }
 
 /// A bounded byte queue with one task that fills it and one that empties it.
@@ -139,6 +141,12 @@
         self.emptied.notify_one();
     }
 
+    /// True if nothing is under way, and the direction has not ended.
+    pub fn idle(&self) -> bool {
+        let state = self.state.borrow();
+        state.committed + state.held == 0 && state.end.is_none()
+    }
+
     /// True once the direction has ended.
     pub fn ended(&self) -> bool {
         self.state.borrow().end.is_some()
@@ -233,6 +241,20 @@
         assert_eq!(sent, got);
     }
 
+    #[test]
+    fn a_ring_is_idle_while_it_holds_nothing_and_has_not_ended() {
+        let ring = Ring::new();
+        assert!(ring.idle());
+        put(&ring, b"half");
+        assert!(!ring.idle());
+        ring.commit(4);
+        assert!(!ring.idle());
+        take(&ring);
+        assert!(ring.idle());
+        ring.end(End::HandedOver);
+        assert!(!ring.idle());
+    }
+
     #[tokio::test(flavor = "current_thread")]
     async fn a_full_ring_gives_no_room_until_it_is_emptied() {
         let ring = Ring::with_capacity(4);
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,13 +1,13 @@
 //! The server side: makes attempts and probes at form hosts. Knows nothing of clients.
 
 use crate::clock::{Clock, Millis};
+use crate::descriptors::Descriptor;
 use crate::exchange::{Attempt, Errand, Order, Pipe, Probe};
 use crate::protocol::line::{self, LONGEST, Reply};
 use crate::pump;
 use crate::ring::{End, Ring};
 use crate::tuning::Tuning;
 use marllink::Outcome;
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -35,6 +35,14 @@
             tokio::task::spawn_local(async move {
                 match order {
                     Order::Attempt(attempt) => servers.attempt(attempt).await,
+                    Order::Standing { socket, pipe, errand, descriptor } => {
+                        let outcome = tokio::select! {
+                            biased;
+                            outcome = errand.called_off() => outcome,
+                            outcome = servers.stand(&socket, &pipe, &errand) => outcome,
+                        };
+                        part(socket, descriptor, &pipe, errand, outcome);
+                    }
                     Order::Probe(probe) => servers.probe(probe).await,
                 }
             });
@@ -51,7 +59,7 @@
             outcome = errand.called_off() => Err(outcome),
             stream = connecting => stream.ok_or(Outcome::ConnectFailed),
         };
-        let outcome = match stream {
+        match stream {
             Ok(stream) => {
                 let talk = async {
                     let left = until - self.clock.now();
@@ -66,16 +74,13 @@
                     outcome = errand.called_off() => outcome,
                     outcome = talk => outcome,
                 };
-                if pipe.up.broken() {
-                    pump::reset(&stream);
-                }
-                outcome
+                part(stream, descriptor, &pipe, errand, outcome);
             }
-            Err(outcome) => outcome,
-        };
-        // The socket is closed by now: an attempt that has ended must not be out any more.
-        drop(descriptor);
-        errand.end(outcome);
+            Err(outcome) => {
+                drop(descriptor);
+                errand.end(outcome);
+            }
+        }
     }
 
     async fn connect(&self, address: SocketAddr, wait_ms: Millis) -> Option<TcpStream> {
@@ -126,8 +131,8 @@
 
     /// Passes lines on until the connection ends.
     async fn stand(&self, stream: &TcpStream, pipe: &Pipe, errand: &Errand) -> Outcome {
-        let last = Cell::new(None);
-        let arrived = || pass_lines(pipe, errand, &last);
+        let last = &pipe.last_word;
+        let arrived = || pass_lines(pipe, errand);
         // Lines may have come along with the first.
         if !arrived() {
             pipe.down.end(End::Reset);
@@ -188,6 +193,16 @@
     }
 }
 
+/// Gives a form host's socket back. An attempt that has ended must not be out any more, so that is
+/// told after it.
+fn part(socket: TcpStream, descriptor: Descriptor, pipe: &Pipe, errand: Errand, outcome: Outcome) {
+    if pipe.up.broken() {
+        pump::reset(&socket);
+    }
+    pipe.part_from_host(socket, descriptor);
+    errand.end(outcome);
+}
+
 /// Reads a first line, and leaves it held; `None` if the connection ends before, or it is too long.
 async fn first_line(stream: &TcpStream, ring: &Ring) -> Option<Vec<u8>> {
     let whole = || ring.line().is_some() || ring.held() > LONGEST;
@@ -197,7 +212,8 @@
 
 /// Passes whole lines on to the client, so that it can be told to move between two of them at any
 /// time. False if a line is too long to be one.
-fn pass_lines(pipe: &Pipe, errand: &Errand, last: &Cell<Option<Outcome>>) -> bool {
+fn pass_lines(pipe: &Pipe, errand: &Errand) -> bool {
+    let last = &pipe.last_word;
     while let Some(line) = pipe.down.line() {
         last.set(None);
         match line::reply(&line) {
--- a/node/src/shutdown.rs
+++ b/node/src/shutdown.rs
@@ -11,9 +11,10 @@
 const SERVE_ON_MS: Millis = 1_700.0;
 /// Connections are moved evenly over this time, so that they come again evenly.
 const MOVE_OVER_MS: Millis = 1_100.0;
-/// A process whose successor takes clients moves its own evenly over this time instead, and at once:
-/// nobody else is down, and the successor must get them one by one.
-const MOVE_TO_SUCCESSOR_MS: Millis = 2_700.0;
+/// A process whose successor takes clients passes its connections on first, for so long ...
+const PASS_ON_MS: Millis = 1_000.0;
+/// ... and moves those that could not be passed over this time.
+const MOVE_REST_MS: Millis = 1_700.0;
 /// SIGKILL comes 3.7 s after SIGTERM at the earliest; what is not over by then would be lost.
 const LEAVE_AFTER_MS: Millis = 3_100.0;
 /// How often some are moved.
@@ -39,12 +40,19 @@
     // A successor may take clients at this very moment.
     let succeeded = serving.wait_for(|serving| !*serving);
     let succeeded = clock.within(SERVE_ON_MS, succeeded).await.is_some();
-    let move_over = if succeeded { MOVE_TO_SUCCESSOR_MS } else { MOVE_OVER_MS };
     let moving = async {
+        if succeeded {
+            clock.sleep(PASS_ON_MS).await;
+        }
+        let move_over = if succeeded { MOVE_REST_MS } else { MOVE_OVER_MS };
         let until = (clock.now() + move_over).min(leave_at - 2.0 * AGAIN_MS);
+        let mut owed = 0.0;
         loop {
             let left = until - clock.now();
-            exchange.move_share(if left > AGAIN_MS { AGAIN_MS / left } else { 1.0 });
+            // Parts of a connection add up: one at least each time would move few all at once.
+            owed += exchange.standing() as f64 * if left > AGAIN_MS { AGAIN_MS / left } else { 1.0 };
+            exchange.move_some(owed as usize);
+            owed = owed.fract();
             if left <= 0.0 {
                 // Whoever still waits is owed an answer, too.
                 exchange.refuse_all();
@@ -54,8 +62,10 @@
     };
     let idle = async {
         exchange.until_empty().await;
-        // Nobody new comes to a process that has handed over; those that have come are answered.
-        while succeeded && handover.descriptors.in_use(Purpose::Opening) + exchange.len() > 0 {
+        // Nobody new comes to a process that has handed over; those that have come are answered, and
+        // those that are passed on are on their way until their sockets are closed here.
+        let in_use = || [Purpose::Opening, Purpose::Served].map(|p| handover.descriptors.in_use(p));
+        while succeeded && in_use().iter().sum::<usize>() + exchange.len() > 0 {
             clock.sleep(AGAIN_MS).await;
         }
     };
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -143,6 +143,12 @@
         found.map(|at| at as u16)
     }
 
+    /// The number of a name, also of one that is withdrawn.
+    #[must_use]
+    pub fn number_once(&self, name: &str) -> Option<u16> {
+        self.names.iter().position(|n| n == name).map(|at| at as u16)
+    }
+
     /// True if nothing is named.
     #[must_use]
     pub fn is_empty(&self) -> bool {
