Count once what a successor takes over, in reports and while connections are passed

Seen: after each upgrade hosts looked twice as loaded (0.53 -> 1.8 in the log of refusals), took nothing new, and the fleet limit fell to 27 of 82 connections. At fault: the history of own loads by which a report is corrected began at 0, and a connection passed on counted twice until the next word of the predecessor. Ruled out: the throttle (never) and ejections.

--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -10,7 +10,7 @@
 use crate::directory::Directory;
 use crate::discovery::Discovery;
 use crate::exchange::{Exchange, Passed, Socket};
-use crate::protocol::handover::{self as syntax, Hello, Holds, LONGEST, Snapshot, VERSION, Word};
+use crate::protocol::handover::{self as syntax, Connection, Hello, Holds, LONGEST, Snapshot, VERSION, Word};
 use marllink::Event;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
@@ -219,6 +219,8 @@
     pub config: RefCell<String>,
     /// SIGTERM has come: this process will not serve again.
     pub leaving: Cell<bool>,
+    /// What the predecessor holds, as last told, less what has come over since.
+    before: RefCell<Holds>,
     /// The links that are open, to say something by.
     links: RefCell<Vec<mpsc::UnboundedSender<Said>>>,
 }
@@ -244,6 +246,7 @@
             serving: watch::Sender::new(false),
             config: config.into(),
             leaving: Cell::default(),
+            before: RefCell::default(),
             links: RefCell::default(),
         })
     }
@@ -271,7 +274,7 @@
                 Word::Connection(told) => {
                     let Some([client, host]) = link.take_sockets() else { return };
                     match (connection(client), connection(host)) {
-                        (Ok(client), Ok(host)) => this.exchange.adopt(told, client, host),
+                        (Ok(client), Ok(host)) => this.adopt(told, client, host),
                         (Err(error), _) | (_, Err(error)) => {
                             tracing::error!(%error, "a connection could not be taken over");
                         }
@@ -290,8 +293,22 @@
 
     fn predecessor_holds(&self, holds: Holds) {
         self.descriptors.leave(holds.descriptors);
-        self.exchange.held_elsewhere(holds.ids);
-        self.core.feed(Event::Elsewhere(holds.holdings));
+        self.exchange.held_elsewhere(holds.ids.clone());
+        self.core.feed(Event::Elsewhere(holds.holdings.clone()));
+        self.before.replace(holds);
+    }
+
+    /// Goes on with a connection of the predecessor's. It must not count twice until that tells again
+    /// what it holds: a host would look twice as loaded, and be relieved.
+    fn adopt(&self, told: Connection, client: TcpStream, host: TcpStream) {
+        let mut before = self.before.borrow_mut();
+        if let Some(held) = before.holdings.iter_mut().find(|held| held.server == told.server) {
+            held.open = held.open.saturating_sub(1);
+            held.load -= told.load;
+            self.core.feed(Event::Elsewhere(before.holdings.clone()));
+        }
+        drop(before);
+        self.exchange.adopt(told, client, host);
     }
 
     /// Hands over to successors for ever.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -470,6 +470,10 @@
             let server = &mut self.servers[slot];
             let before = std::mem::replace(&mut server.elsewhere, held);
             server.load += held.1 - before.1;
+            if before.0 == 0 && server.connections.is_empty() {
+                // It was there all along: the next report holds it, and is corrected by what came since.
+                server.loads = [server.load; REPORT_AGE];
+            }
             let by = held.0 as i32 - before.0 as i32;
             self.total = self.total.saturating_add_signed(by as isize);
             self.add_open(slot, by);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -549,3 +549,66 @@
     let (request, _) = node.ask(2_000.0);
     assert!(sent(&node.end(request, 0, Outcome::ConnectFailed, false)).is_some());
 }
+
+#[test]
+fn a_successor_takes_a_host_for_as_loaded_as_its_predecessor_did() {
+    // Reports that came in its first second were taken to hold none of the load that it had taken over,
+    // so hosts looked twice as loaded: they took nothing new and were relieved.
+    let mut old = probing(4);
+    let mut loaded = Vec::new();
+    for _ in 0..40 {
+        let (request, server) = old.place();
+        old.on(Event::ConnectionLoad { request, load: 1_000.0 });
+        loaded.push(server);
+    }
+    for _ in 0..10 {
+        tick(&mut old);
+    }
+    (1..=4).for_each(|id| report(&mut old, ServerId(id), 0.5));
+    let mut new = probing(4);
+    new.now = 500_000.0;
+    new.on(Event::TakeOver(old.balancer.knowledge()));
+    new.on(Event::Elsewhere(old.balancer.holdings()));
+    let mut moved = tick(&mut new);
+    (1..=4).for_each(|id| report(&mut new, ServerId(id), 0.5));
+    let mut left = old.balancer.holdings();
+    for (i, server) in loaded.into_iter().enumerate() {
+        let held = left.iter_mut().find(|held| held.server == server).expect("it is held");
+        (held.open, held.load) = (held.open - 1, held.load - 1_000.0);
+        new.on(Event::Elsewhere(left.clone()));
+        let request = NewRequest { request: RequestId(1_000 + i as u64), ..NewRequest::default() };
+        new.on(Event::OpenConnection { request, server });
+        new.on(Event::ConnectionLoad { request: RequestId(1_000 + i as u64), load: 1_000.0 });
+        assert!(sent(&new.ask(1_000.0).1).is_some(), "no host takes anything new");
+        moved += tick(&mut new);
+    }
+    assert_eq!(moved, 0);
+}
+
+#[test]
+fn a_successor_knows_maintenance_ejections_and_cold_budgets() {
+    let mut old = Node::new(settings(), entries(4));
+    old.shares(12);
+    maintain(&mut old, true);
+    old.list(ListKind::Delta, vec![ServerEntry { started_at: 900.0, ..entry(2, 1.0) }]);
+    for _ in 0..3 {
+        // Failing, it is out for some seconds.
+        let (request, server) = old.place();
+        if server == ServerId(3) {
+            old.end(request, 0, Outcome::ConnectFailed, false);
+        }
+        old.now += 60.0;
+    }
+    let told = old.balancer.knowledge();
+    let mut new = Node::seeded(2, settings(), entries(4));
+    new.now = 700_000.0;
+    new.on(Event::TakeOver(told.clone()));
+    let again = new.balancer.knowledge();
+    assert_eq!(again.out, [ServerId(1)]);
+    let by = new.now - told.now;
+    for (id, track) in told.servers {
+        let known = again.servers.iter().find(|(other, _)| *other == id).expect("it is known");
+        assert_eq!(known.1, track.shifted(by));
+    }
+    assert!(!new.shares(12).contains_key(&ServerId(1)));
+}
