--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -17,10 +17,12 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// An answer must begin within this time; discovery itself gives up on a call before that.
-const ANSWER_MS: Millis = 4_000.0;
-/// A watch brings at least an empty line every 2 s; one that is silent for so long is lost.
-const SILENCE_MS: Millis = 4_500.0;
+/// An answer must begin within this time, and a list be whole; discovery itself gives up on a call
+/// after 2 s. What it has to tell counts as told after 6 s, and there must be time for another call.
+const ANSWER_MS: Millis = 2_500.0;
+/// A watch brings at least an empty line every 2 s; one that is silent for so long is lost. Bytes count,
+/// not lines, as a long list may come in many pieces.
+const SILENCE_MS: Millis = 3_000.0;
 /// No list comes near this; a longer body is refused.
 const LONGEST_BODY: usize = 16 * 1024 * 1024;
 
@@ -141,7 +143,7 @@
                 match http::head(&raw) {
                     Read::Whole(head, n) if head.status == 200 => {
                         raw.drain(..n);
-                        return Ok(Body { stream, raw, head, text: Vec::new() });
+                        return Ok(Body { stream, clock: self.clock.clone(), raw, head, text: Vec::new() });
                     }
                     Read::Whole(head, _) => return Err(format!("status {}", head.status)),
                     Read::Malformed => return Err("no HTTP".into()),
@@ -182,11 +184,8 @@
                     self.take(&syntax::list(&line).ok_or("no list")?);
                 }
             }
-            match self.clock.within(SILENCE_MS, body.read_some()).await {
-                Some(Ok(true)) => {}
-                Some(Ok(false)) => return Err("the watch ended".into()),
-                Some(Err(error)) => return Err(error),
-                None => return Err("silence".into()),
+            if !body.read_some().await? {
+                return Err("the watch ended".into());
             }
         }
     }
@@ -228,6 +227,7 @@
 /// The body of an answer, as far as it has come.
 struct Body {
     stream: TcpStream,
+    clock: Clock,
     /// As it came, not yet taken apart.
     raw: Vec<u8>,
     head: http::Head,
@@ -256,7 +256,8 @@
             } else if self.head.length.is_some_and(|length| self.text.len() >= length) {
                 return Ok(false);
             }
-            if !pump::read_more(&self.stream, &mut self.raw).await.map_err(|e| e.to_string())? {
+            let read = self.clock.within(SILENCE_MS, pump::read_more(&self.stream, &mut self.raw)).await;
+            if !read.ok_or("silence")?.map_err(|e| e.to_string())? {
                 // Only a body of neither chunks nor a length ends with its connection.
                 let whole = !self.head.chunked && self.head.length.is_none();
                 return if whole { Ok(false) } else { Err("cut off".into()) };
--- a/node/tests/process.rs
+++ b/node/tests/process.rs
@@ -138,6 +138,31 @@
     assert!(leaving.listener.accept().is_err(), "it was sent something");
 }
 
+#[test]
+fn pieces_of_any_size_are_put_together_and_a_watch_that_falls_silent_is_renewed() {
+    let (listed, told) = (Host::new("s-1"), Host::new("s-2"));
+    let mut node = Node::start(&[&listed], SOCKETS);
+    let (_, mut watch) = node.called();
+    let change = list(45, false, &[listed.entry("DRAINING"), told.entry("SERVING")]) + "\n";
+    let answer =
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{change}\r\n", change.len());
+    watch.send_pieces(&answer);
+    node.logged("ServerList { kind: Delta");
+    let fell_silent = Instant::now();
+    let mut client = node.connect();
+    client.send_pieces("PING\r\nOPEN 1f 2f c=chat,d=2000\r\n");
+    assert_eq!(client.line(), "PONG");
+    let mut server = told.accept();
+    server.line();
+    server.send_pieces("UP 0xABC\r\nLOAD 12.5\r\none\r\n");
+    assert_eq!([client.line(), client.line(), client.line()], ["UP 0xABC", "LOAD 12.5", "one"]);
+    client.send_pieces("two\r\n");
+    assert_eq!(server.line(), "two");
+    // What discovery has to tell counts as told after 6 s: a silent watch must be given up before.
+    assert_eq!(node.called().0, "GET /catalog/members?watch=1&after=45 HTTP/1.1");
+    assert!(fell_silent.elapsed() < Duration::from_millis(4_500), "{:?}", fell_silent.elapsed());
+}
+
 #[test]
 fn an_end_passes_on_in_kind() {
     let host = Host::new("s-1");
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -58,6 +58,14 @@
         self.reader.get_mut().write_all(text.as_bytes()).expect("the balancer takes it");
     }
 
+    /// Sends each byte by itself.
+    pub fn send_pieces(&mut self, text: &str) {
+        for byte in text.as_bytes() {
+            self.reader.get_mut().write_all(&[*byte]).expect("the balancer takes it");
+            std::thread::yield_now();
+        }
+    }
+
     /// The next line without its end; "(end)" at the end and "(reset)" after a reset.
     pub fn line(&mut self) -> String {
         let mut line = String::new();
