--- a/src/decide.rs
+++ b/src/decide.rs
@@ -85,6 +85,10 @@
 /// A cold server is sent at most this part of what would tip it: the rest is for the error of
 /// the guess, for heavy connections, for bursts, and for nodes that do not know yet.
 const COLD_MARGIN: f64 = 0.33;
+/// But this part while it reports less load than that: if it is smaller than the guess it fills up,
+/// and the next report tells so before the time to fall over has passed.
+const COLD_IDLE_MARGIN: f64 = 0.55;
+const COLD_IDLE: f64 = 0.35;
 /// First wait in ms before the list is asked for again; doubled with each failure, spread by half.
 const ASK_AGAIN_MS: Millis = 500.0;
 /// So many ms for each node to spread first calls over: one list service answers them all.
@@ -970,7 +974,10 @@
             / self.fleet.learnt_share.max(f64::MIN_POSITIVE)
             / rules.warm_after_ms.max(1.0);
         let fair = rate.max(fill / f64::from(self.settings.nodes.max(1))) * self.servers[slot].weight;
-        let allowed = rules.tip_multiple * COLD_MARGIN * capacity * fair;
+        let told = self.now - self.servers[slot].track.reported_at <= REPORT_MS;
+        let idle = told && self.load_now(slot) < COLD_IDLE;
+        let margin = if idle { COLD_IDLE_MARGIN } else { COLD_MARGIN };
+        let allowed = rules.tip_multiple * margin * capacity * fair;
         let server = &mut self.servers[slot];
         let grown = server.track.budget + allowed * (self.now - server.track.budget_at);
         server.track.budget = grown.min(1.0f64.max(allowed * rules.overload_for_ms));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -612,3 +612,33 @@
     }
     assert!(!new.shares(12).contains_key(&ServerId(1)));
 }
+
+#[test]
+fn a_cold_server_that_reports_little_load_is_sent_more_until_it_reports_more() {
+    // Days on which servers are replaced one after another: clients were refused for seconds while
+    // those that had just started stood nearly empty.
+    let sent_to_cold = |reported: f32| {
+        let mut settings = settings();
+        settings.limits.probe = true;
+        settings.report_fields = vec![ReportField::Utilization, ReportField::InFlight];
+        let (cold_from, warm_after_ms) = (0.35, 9_000.0);
+        let (tip_multiple, overload_for_ms) = (3.0, 3_000.0);
+        settings.rules =
+            Rules { cold_from, warm_after_ms, tip_multiple, overload_for_ms, ..Rules::default() };
+        let mut node = Node::new(settings, entries(4));
+        node.shares(400);
+        node.now += 5_000.0;
+        let cold = (5..=6).map(|id| ServerEntry { started_at: node.now, ..entry(id, 1.0) });
+        node.list(ListKind::Delta, cold.collect());
+        let mut sends = 0;
+        for _ in 0..200 {
+            node.now += 20.0;
+            // The others are busy.
+            (1..=6).for_each(|id| report(&mut node, ServerId(id), if id > 4 { reported } else { 0.75 }));
+            sends += usize::from(sent(&node.ask(100.0).1).is_some());
+        }
+        sends
+    };
+    let (idle, loaded) = (sent_to_cold(0.1), sent_to_cold(0.5));
+    assert!(idle > loaded && idle < 2 * loaded, "{idle} and {loaded}");
+}
