Leave a socket that another process has laid in the meeting place when ending

Seen by reading: a process that was silent while another started plainly beside it removed that one's socket at its end, so the next upgrade found nobody to ask. It is removed now only if it is the same file.

--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -22,7 +22,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
-use std::os::unix::fs::PermissionsExt;
+use std::os::unix::fs::{MetadataExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use tokio::io::Interest;
@@ -199,6 +199,11 @@
     Ok(listener)
 }
 
+/// The socket that lies there now, to be known again; `None` if there is none.
+pub fn lies_there(path: &Path) -> Option<(u64, u64)> {
+    std::fs::metadata(path).ok().map(|socket| (socket.dev(), socket.ino()))
+}
+
 /// This process's part in handing over.
 pub struct Handover {
     /// The decisions.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -142,6 +142,7 @@
             (clients, Ok(successors))
         }
     };
+    let own = handover::lies_there(&path);
     let listener = Rc::new(listener);
     match successors {
         Ok(successors) => {
@@ -178,8 +179,8 @@
         () = reload::follow(hangup, &config, &tuning, &handover) => {}
         () = shutdown::orderly(term, &clock, &handover) => {}
     }
-    if *handover.serving.borrow() {
-        // Nobody has taken over: there is nobody to ask here any more.
+    if *handover.serving.borrow() && own == handover::lies_there(&path) {
+        // Nobody has taken over, or laid a socket of its own there: there is nobody to ask any more.
         let _ = std::fs::remove_file(&path);
     }
     Ok(())
