Make the node a library with a thin binary, its modules grouped by concern

A daemon that grows by fronts, links to keepers and plug-ins needs room: twenty modules lay side by side in one binary, and the exchange had 865 lines. Modules are moved into front, host, exchange, membership, operations and io; the exchange is split into the requests, the pipe, the orders and what each side holds. No behaviour changes.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -3,7 +3,7 @@
 //! Owns the balancer, the numbering of requests, and its timers. Decides nothing, and knows no
 //! sockets and no syntax: whoever brings requests, by whatever protocol, implements [`Requests`].
 
-use crate::clock::{Clock, Millis};
+use crate::io::clock::{Clock, Millis};
 use marllink::{Action, AttemptNo, Balancer, Event, Holding, Knowledge, RequestId, ServerId, Settings};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
--- /dev/null
+++ b/node/src/exchange/holders.rs
@@ -0,0 +1,166 @@
+//! What each side holds of a request: dropped, it gives that back, however its task ends.
+
+use super::{CallOff, Entry, Exchange, Phase, Pipe};
+use crate::io::clock::Millis;
+use crate::protocol::report::{self, Report};
+use marllink::{AttemptNo, Event, Outcome, RequestId, ServerId};
+use std::rc::{Rc, Weak};
+
+/// What the client side holds of a request. Dropped, it tells that the client has left.
+pub struct Ticket {
+    pub(super) exchange: Rc<Exchange>,
+    pub(super) id: RequestId,
+    pub(super) wait_ms: Millis,
+}
+
+impl std::fmt::Debug for Ticket {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Ticket({:?})", self.id)
+    }
+}
+
+impl Ticket {
+    /// How long the client still waited when the request was taken.
+    pub fn wait_ms(&self) -> Millis {
+        self.wait_ms
+    }
+
+    /// The client has sent whole lines: they go on.
+    pub fn sent(&self, pipe: &Pipe) {
+        let now = self.exchange.clock.now();
+        while let Some(line) = pipe.up.line() {
+            pipe.waiting.borrow_mut().sent(now);
+            pipe.up.commit(line.len());
+        }
+        // Half a line goes on as well; only the way down must be cut between lines.
+        pipe.up.commit(pipe.up.held());
+    }
+
+    /// The client has sent something before its answer, which no client of the protocol does:
+    /// nothing of that may reach a form host, and the request ends here.
+    pub fn malformed(&self) {
+        self.exchange.answer(self.id, "ERR\r\n".into());
+        self.exchange.core.feed(Event::ClientGone(self.id));
+    }
+
+    /// The client's time is over. A guard: the decisions answer before that.
+    pub fn overdue(&self) {
+        let waiting = |e: &Entry| matches!(e.phase, Phase::Waiting);
+        if self.exchange.entries.borrow().get(&self.id).is_some_and(waiting) {
+            tracing::error!(request = self.id.0, "no answer was decided in time");
+            self.exchange.answer(self.id, "ERR\r\n".into());
+            self.exchange.core.feed(Event::ClientGone(self.id));
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.exchange.client_left(self.id);
+    }
+}
+
+/// What the server side holds of an attempt. Dropped, it tells how the attempt ended; its socket
+/// must be closed by then, as the next attempt may follow at once.
+pub struct Errand {
+    pub(super) exchange: Rc<Exchange>,
+    pub(super) id: RequestId,
+    pub(super) attempt: AttemptNo,
+    pub(super) server: ServerId,
+    pub(super) call_off: Rc<CallOff>,
+    pub(super) sent_at: Millis,
+    pub(super) outcome: Outcome,
+}
+
+impl std::fmt::Debug for Errand {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Errand({:?}, {:?}, {:?})", self.id, self.attempt, self.server)
+    }
+}
+
+impl Errand {
+    /// Waits until the attempt is ended from the exchange's side, and tells how it has ended.
+    pub async fn called_off(&self) -> Outcome {
+        loop {
+            self.call_off.called.notified().await;
+            if let Some(outcome) = self.call_off.outcome.get() {
+                return outcome;
+            }
+        }
+    }
+
+    /// The form host has taken the connection. False if the client needs it no more.
+    pub fn established(&self) -> bool {
+        let exchange = &self.exchange;
+        let mut entries = exchange.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&self.id) else { return false };
+        if !matches!(entry.phase, Phase::Waiting) {
+            return false;
+        }
+        entry.phase = Phase::Standing;
+        entry.pipe.standing.set(true);
+        drop(entries);
+        let latency_ms = exchange.clock.now() - self.sent_at;
+        exchange.core.feed(Event::Established { request: self.id, attempt: self.attempt, latency_ms });
+        true
+    }
+
+    /// The form host has told the connection's load.
+    pub fn load(&self, pipe: &Pipe, load: f64) {
+        pipe.waiting.borrow_mut().heard(self.exchange.clock.now());
+        pipe.load.set(load);
+        self.exchange.core.feed(Event::ConnectionLoad { request: self.id, load });
+    }
+
+    /// The form host has sent another line.
+    pub fn answered(&self, pipe: &Pipe) {
+        let now = self.exchange.clock.now();
+        if let Some(took) = pipe.waiting.borrow_mut().answered(now) {
+            self.exchange.delays.borrow_mut().sample(now, self.server, self.id, took);
+        }
+    }
+
+    /// How the attempt ended. To be called once its socket is closed.
+    pub fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Errand {
+    fn drop(&mut self) {
+        self.exchange.attempt_ended(self.id, self.attempt, self.outcome);
+    }
+}
+
+/// Tells a probe's result when it is dropped; a failure unless an answer came.
+pub struct ProbeResult {
+    pub(super) exchange: Weak<Exchange>,
+    pub(super) server: ServerId,
+    pub(super) ok: bool,
+    pub(super) report: Vec<f32>,
+}
+
+impl std::fmt::Debug for ProbeResult {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "ProbeResult({:?})", self.server)
+    }
+}
+
+impl ProbeResult {
+    /// The form host has answered.
+    pub fn answered(&mut self, report: &Report) {
+        if let Some(exchange) = self.exchange.upgrade() {
+            self.report = report::in_order(report, &exchange.tuning.now().names.report_fields);
+            self.ok = true;
+        }
+    }
+}
+
+impl Drop for ProbeResult {
+    fn drop(&mut self) {
+        if let Some(exchange) = self.exchange.upgrade() {
+            let (server, ok, report) = (self.server, self.ok, std::mem::take(&mut self.report));
+            exchange.core.feed(Event::ProbeResult { server, ok, report });
+        }
+    }
+}
--- a/node/src/exchange.rs
+++ b/node/src/exchange/mod.rs
@@ -5,21 +5,26 @@
 //! side holds a [`Ticket`] and the server side an [`Errand`]; each gives back what it stands for
 //! when it is dropped, however its task ends.
 
-use crate::clock::{Clock, Millis};
+mod holders;
+mod orders;
+mod pipe;
+
 use crate::core::{Core, Requests};
-use crate::delay::{Delays, Waiting};
-use crate::descriptors::{Descriptor, Descriptors, Purpose};
-use crate::directory::Directory;
+use crate::host::delay::Delays;
+use crate::io::clock::{Clock, Millis};
+use crate::io::descriptors::{Descriptors, Purpose};
+use crate::io::ring::End;
+use crate::membership::directory::Directory;
+use crate::operations::tuning::Tuning;
 use crate::protocol::handover::Connection;
 use crate::protocol::line::{self, Opening};
-use crate::protocol::report::{self, Report};
-use crate::ring::{End, Ring};
-use crate::tuning::Tuning;
+pub use holders::{Errand, ProbeResult, Ticket};
 use marllink::{AttemptNo, ClassId, Event, NewRequest, Outcome, RequestId, ServerId, TenantId};
+pub use orders::{Adopted, Attempt, Order, Probe};
+use pipe::Handoff;
+pub use pipe::{Passed, Pipe, Socket};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
-use std::net::SocketAddr;
-use std::os::fd::OwnedFd;
 use std::rc::{Rc, Weak};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
@@ -34,177 +39,6 @@
 /// How often silent connections are looked for.
 const SWEEP_MS: Millis = 250.0;
 
-/// The two directions of a connection.
-#[derive(Debug)]
-pub struct Pipe {
-    /// From the client to its form host.
-    pub up: Ring,
-    /// From the form host to the client.
-    pub down: Ring,
-    standing: Cell<bool>,
-    waiting: RefCell<Waiting>,
-    /// Its load, as last told.
-    load: Cell<f64>,
-    /// What the form host has said of the connection's end, if that was its last line.
-    pub last_word: Cell<Option<Outcome>>,
-    handoff: RefCell<Option<Rc<Handoff>>>,
-}
-
-impl Pipe {
-    /// Two empty rings.
-    pub fn new() -> Rc<Self> {
-        Rc::new(Self {
-            up: Ring::new(),
-            down: Ring::new(),
-            standing: Cell::default(),
-            waiting: RefCell::default(),
-            load: Cell::default(),
-            last_word: Cell::default(),
-            handoff: RefCell::default(),
-        })
-    }
-
-    /// True once another process goes on with the connection.
-    pub fn handed_over(&self) -> bool {
-        self.handoff.borrow().is_some()
-    }
-
-    /// True if another process could go on with the connection from here.
-    fn idle(&self) -> bool {
-        self.up.idle() && self.down.idle() && self.waiting.borrow().none() && self.last_word.get().is_none()
-    }
-
-    /// Gives the client's socket back, once nothing is done with it any more: it is closed, or passed
-    /// on with the connection.
-    pub fn part_from_client(&self, socket: TcpStream, descriptor: Descriptor) {
-        self.part(socket, descriptor, |handoff| &handoff.client);
-    }
-
-    /// The same for the form host's.
-    pub fn part_from_host(&self, socket: TcpStream, descriptor: Descriptor) {
-        self.part(socket, descriptor, |handoff| &handoff.host);
-    }
-
-    fn part(
-        &self,
-        socket: TcpStream,
-        descriptor: Descriptor,
-        end: impl Fn(&Handoff) -> &RefCell<Option<Socket>>,
-    ) {
-        let handoff = self.handoff.borrow().clone();
-        match handoff.map(|handoff| (handoff, socket.into_std())) {
-            Some((handoff, Ok(socket))) => {
-                end(&handoff).replace(Some((socket.into(), descriptor)));
-                handoff.pass();
-            }
-            // The count is given back after the socket.
-            _ => drop(descriptor),
-        }
-    }
-
-    /// True once the form host has taken the connection.
-    pub fn standing(&self) -> bool {
-        self.standing.get()
-    }
-}
-
-/// A socket that is passed on, and the count that goes back once it is closed here.
-pub type Socket = (OwnedFd, Descriptor);
-
-/// A connection on its way to another process.
-#[derive(Debug)]
-pub struct Passed {
-    /// What it is.
-    pub connection: Connection,
-    /// The client's socket and the form host's.
-    pub sockets: [Socket; 2],
-}
-
-/// Waits for both sides to give their sockets back.
-#[derive(Debug)]
-struct Handoff {
-    connection: Connection,
-    client: RefCell<Option<Socket>>,
-    host: RefCell<Option<Socket>>,
-    to: mpsc::UnboundedSender<Passed>,
-}
-
-impl Handoff {
-    fn pass(&self) {
-        match (self.client.take(), self.host.take()) {
-            (Some(client), Some(host)) => {
-                // If nobody takes it, it is closed.
-                let _ = self.to.send(Passed { connection: self.connection.clone(), sockets: [client, host] });
-            }
-            (client, host) => {
-                self.client.replace(client);
-                self.host.replace(host);
-            }
-        }
-    }
-}
-
-/// What the client side is to do with a connection that another process has passed on.
-#[derive(Debug)]
-pub struct Adopted {
-    /// The client's socket.
-    pub socket: TcpStream,
-    /// Its request.
-    pub ticket: Ticket,
-    /// The connection's two directions.
-    pub pipe: Rc<Pipe>,
-    /// For the socket.
-    pub descriptor: Descriptor,
-}
-
-/// What the server side is to do.
-#[derive(Debug)]
-pub enum Order {
-    /// An attempt.
-    Attempt(Attempt),
-    /// A connection that another process has passed on.
-    Standing {
-        /// The form host's socket.
-        socket: TcpStream,
-        /// The connection's two directions.
-        pipe: Rc<Pipe>,
-        /// Tells the exchange what becomes of it.
-        errand: Errand,
-        /// For the socket.
-        descriptor: Descriptor,
-    },
-    /// A probe.
-    Probe(Probe),
-}
-
-/// An attempt to be made.
-#[derive(Debug)]
-pub struct Attempt {
-    /// Where the form host is reached.
-    pub address: SocketAddr,
-    /// What the client asked.
-    pub opening: Rc<Opening>,
-    /// How long the attempt may take until it stands.
-    pub wait_ms: Millis,
-    /// The connection's two directions.
-    pub pipe: Rc<Pipe>,
-    /// Tells the exchange what becomes of it.
-    pub errand: Errand,
-    /// For its socket.
-    pub descriptor: Descriptor,
-}
-
-/// A probe to be made.
-#[derive(Debug)]
-pub struct Probe {
-    /// Where the form host is reached.
-    pub address: SocketAddr,
-    /// Whom to tell.
-    pub result: ProbeResult,
-    /// For its socket.
-    pub descriptor: Descriptor,
-}
-
 enum Phase {
     /// The client waits for its final answer.
     Waiting,
@@ -704,162 +538,3 @@
         }
     }
 }
-
-/// What the client side holds of a request. Dropped, it tells that the client has left.
-pub struct Ticket {
-    exchange: Rc<Exchange>,
-    id: RequestId,
-    wait_ms: Millis,
-}
-
-impl std::fmt::Debug for Ticket {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Ticket({:?})", self.id)
-    }
-}
-
-impl Ticket {
-    /// How long the client still waited when the request was taken.
-    pub fn wait_ms(&self) -> Millis {
-        self.wait_ms
-    }
-
-    /// The client has sent whole lines: they go on.
-    pub fn sent(&self, pipe: &Pipe) {
-        let now = self.exchange.clock.now();
-        while let Some(line) = pipe.up.line() {
-            pipe.waiting.borrow_mut().sent(now);
-            pipe.up.commit(line.len());
-        }
-        // Half a line goes on as well; only the way down must be cut between lines.
-        pipe.up.commit(pipe.up.held());
-    }
-
-    /// The client has sent something before its answer, which no client of the protocol does:
-    /// nothing of that may reach a form host, and the request ends here.
-    pub fn malformed(&self) {
-        self.exchange.answer(self.id, "ERR\r\n".into());
-        self.exchange.core.feed(Event::ClientGone(self.id));
-    }
-
-    /// The client's time is over. A guard: the decisions answer before that.
-    pub fn overdue(&self) {
-        let waiting = |e: &Entry| matches!(e.phase, Phase::Waiting);
-        if self.exchange.entries.borrow().get(&self.id).is_some_and(waiting) {
-            tracing::error!(request = self.id.0, "no answer was decided in time");
-            self.exchange.answer(self.id, "ERR\r\n".into());
-            self.exchange.core.feed(Event::ClientGone(self.id));
-        }
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.exchange.client_left(self.id);
-    }
-}
-
-/// What the server side holds of an attempt. Dropped, it tells how the attempt ended; its socket
-/// must be closed by then, as the next attempt may follow at once.
-pub struct Errand {
-    exchange: Rc<Exchange>,
-    id: RequestId,
-    attempt: AttemptNo,
-    server: ServerId,
-    call_off: Rc<CallOff>,
-    sent_at: Millis,
-    outcome: Outcome,
-}
-
-impl std::fmt::Debug for Errand {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Errand({:?}, {:?}, {:?})", self.id, self.attempt, self.server)
-    }
-}
-
-impl Errand {
-    /// Waits until the attempt is ended from the exchange's side, and tells how it has ended.
-    pub async fn called_off(&self) -> Outcome {
-        loop {
-            self.call_off.called.notified().await;
-            if let Some(outcome) = self.call_off.outcome.get() {
-                return outcome;
-            }
-        }
-    }
-
-    /// The form host has taken the connection. False if the client needs it no more.
-    pub fn established(&self) -> bool {
-        let exchange = &self.exchange;
-        let mut entries = exchange.entries.borrow_mut();
-        let Some(entry) = entries.get_mut(&self.id) else { return false };
-        if !matches!(entry.phase, Phase::Waiting) {
-            return false;
-        }
-        entry.phase = Phase::Standing;
-        entry.pipe.standing.set(true);
-        drop(entries);
-        let latency_ms = exchange.clock.now() - self.sent_at;
-        exchange.core.feed(Event::Established { request: self.id, attempt: self.attempt, latency_ms });
-        true
-    }
-
-    /// The form host has told the connection's load.
-    pub fn load(&self, pipe: &Pipe, load: f64) {
-        pipe.waiting.borrow_mut().heard(self.exchange.clock.now());
-        pipe.load.set(load);
-        self.exchange.core.feed(Event::ConnectionLoad { request: self.id, load });
-    }
-
-    /// The form host has sent another line.
-    pub fn answered(&self, pipe: &Pipe) {
-        let now = self.exchange.clock.now();
-        if let Some(took) = pipe.waiting.borrow_mut().answered(now) {
-            self.exchange.delays.borrow_mut().sample(now, self.server, self.id, took);
-        }
-    }
-
-    /// How the attempt ended. To be called once its socket is closed.
-    pub fn end(mut self, outcome: Outcome) {
-        self.outcome = outcome;
-    }
-}
-
-impl Drop for Errand {
-    fn drop(&mut self) {
-        self.exchange.attempt_ended(self.id, self.attempt, self.outcome);
-    }
-}
-
-/// Tells a probe's result when it is dropped; a failure unless an answer came.
-pub struct ProbeResult {
-    exchange: Weak<Exchange>,
-    server: ServerId,
-    ok: bool,
-    report: Vec<f32>,
-}
-
-impl std::fmt::Debug for ProbeResult {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "ProbeResult({:?})", self.server)
-    }
-}
-
-impl ProbeResult {
-    /// The form host has answered.
-    pub fn answered(&mut self, report: &Report) {
-        if let Some(exchange) = self.exchange.upgrade() {
-            self.report = report::in_order(report, &exchange.tuning.now().names.report_fields);
-            self.ok = true;
-        }
-    }
-}
-
-impl Drop for ProbeResult {
-    fn drop(&mut self) {
-        if let Some(exchange) = self.exchange.upgrade() {
-            let (server, ok, report) = (self.server, self.ok, std::mem::take(&mut self.report));
-            exchange.core.feed(Event::ProbeResult { server, ok, report });
-        }
-    }
-}
--- /dev/null
+++ b/node/src/exchange/orders.rs
@@ -0,0 +1,70 @@
+//! What the exchange asks of the client side and of the server side.
+
+use super::{Errand, Pipe, ProbeResult, Ticket};
+use crate::io::clock::Millis;
+use crate::io::descriptors::Descriptor;
+use crate::protocol::line::Opening;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+
+/// What the client side is to do with a connection that another process has passed on.
+#[derive(Debug)]
+pub struct Adopted {
+    /// The client's socket.
+    pub socket: TcpStream,
+    /// Its request.
+    pub ticket: Ticket,
+    /// The connection's two directions.
+    pub pipe: Rc<Pipe>,
+    /// For the socket.
+    pub descriptor: Descriptor,
+}
+
+/// What the server side is to do.
+#[derive(Debug)]
+pub enum Order {
+    /// An attempt.
+    Attempt(Attempt),
+    /// A connection that another process has passed on.
+    Standing {
+        /// The form host's socket.
+        socket: TcpStream,
+        /// The connection's two directions.
+        pipe: Rc<Pipe>,
+        /// Tells the exchange what becomes of it.
+        errand: Errand,
+        /// For the socket.
+        descriptor: Descriptor,
+    },
+    /// A probe.
+    Probe(Probe),
+}
+
+/// An attempt to be made.
+#[derive(Debug)]
+pub struct Attempt {
+    /// Where the form host is reached.
+    pub address: SocketAddr,
+    /// What the client asked.
+    pub opening: Rc<Opening>,
+    /// How long the attempt may take until it stands.
+    pub wait_ms: Millis,
+    /// The connection's two directions.
+    pub pipe: Rc<Pipe>,
+    /// Tells the exchange what becomes of it.
+    pub errand: Errand,
+    /// For its socket.
+    pub descriptor: Descriptor,
+}
+
+/// A probe to be made.
+#[derive(Debug)]
+pub struct Probe {
+    /// Where the form host is reached.
+    pub address: SocketAddr,
+    /// Whom to tell.
+    pub result: ProbeResult,
+    /// For its socket.
+    pub descriptor: Descriptor,
+}
--- a/node/src/client.rs
+++ b/node/src/front/line.rs
@@ -1,14 +1,14 @@
 //! The client side: takes connections, reads what they ask, and carries lines to and from the
 //! exchange. Knows nothing of form hosts.
 
-use crate::clock::{Clock, Millis};
-use crate::descriptors::{Descriptors, Purpose};
 use crate::exchange::{Adopted, Exchange, Pipe, Ticket};
-use crate::places::{Place, Places};
+use crate::io::clock::{Clock, Millis};
+use crate::io::descriptors::{Descriptors, Purpose};
+use crate::io::places::{Place, Places};
+use crate::io::pump;
+use crate::io::ring::End;
+use crate::operations::tuning::Tuning;
 use crate::protocol::line::{self, Hello, LONGEST, Opening};
-use crate::pump;
-use crate::ring::End;
-use crate::tuning::Tuning;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::net::Shutdown;
--- /dev/null
+++ b/node/src/front/mod.rs
@@ -0,0 +1,3 @@
+//! Fronts: by what protocols clients bring their requests.
+
+pub mod line;
--- a/node/src/delay.rs
+++ b/node/src/host/delay.rs
@@ -1,6 +1,6 @@
 //! How long messages take at form hosts, measured by the lines of clients and their answers.
 
-use crate::clock::Millis;
+use crate::io::clock::Millis;
 use marllink::{RequestId, ServerId};
 use std::collections::{BTreeMap, VecDeque};
 
--- /dev/null
+++ b/node/src/host/mod.rs
@@ -0,0 +1,4 @@
+//! The side of form hosts.
+
+pub mod delay;
+pub mod server;
--- a/node/src/server.rs
+++ b/node/src/host/server.rs
@@ -1,12 +1,12 @@
 //! The server side: makes attempts and probes at form hosts. Knows nothing of clients.
 
-use crate::clock::{Clock, Millis};
-use crate::descriptors::Descriptor;
 use crate::exchange::{Attempt, Errand, Order, Pipe, Probe};
+use crate::io::clock::{Clock, Millis};
+use crate::io::descriptors::Descriptor;
+use crate::io::pump;
+use crate::io::ring::{End, Ring};
+use crate::operations::tuning::Tuning;
 use crate::protocol::line::{self, LONGEST, Reply};
-use crate::pump;
-use crate::ring::{End, Ring};
-use crate::tuning::Tuning;
 use marllink::Outcome;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- /dev/null
+++ b/node/src/io/mod.rs
@@ -0,0 +1,7 @@
+//! Time, bytes and descriptors: what all other parts stand on.
+
+pub mod clock;
+pub mod descriptors;
+pub mod places;
+pub mod pump;
+pub mod ring;
--- a/node/src/places.rs
+++ b/node/src/io/places.rs
@@ -3,7 +3,7 @@
 //! When all are taken one must leave for a newcomer: first who has had an answer and only stays, then
 //! who has sent nothing for longest, as the least likely to say anything more.
 
-use crate::descriptors::{Descriptor, Descriptors, Purpose};
+use crate::io::descriptors::{Descriptor, Descriptors, Purpose};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/node/src/pump.rs
+++ b/node/src/io/pump.rs
@@ -1,6 +1,6 @@
 //! Moves bytes between a socket and a ring.
 
-use crate::ring::{End, Ring};
+use crate::io::ring::{End, Ring};
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
--- a/node/src/discovery.rs
+++ b/node/src/membership/discovery.rs
@@ -3,12 +3,12 @@
 //! Calls are made only when the decisions ask for them; each is answered by a list or by word that
 //! it failed. When to ask again is theirs to decide.
 
-use crate::clock::{Clock, Millis};
 use crate::core::{Core, Membership};
-use crate::directory::Directory;
+use crate::io::clock::{Clock, Millis};
+use crate::io::pump;
+use crate::membership::directory::Directory;
 use crate::protocol::discovery::{self as syntax, List, Target};
 use crate::protocol::http::{self, Read};
-use crate::pump;
 use marllink::{Event, ListKind};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- /dev/null
+++ b/node/src/membership/mod.rs
@@ -0,0 +1,4 @@
+//! Which form hosts there are, and where they are reached.
+
+pub mod directory;
+pub mod discovery;
--- a/node/src/admin.rs
+++ b/node/src/operations/admin.rs
@@ -3,14 +3,14 @@
 //! Its connections have places of their own, so that clients can't take them, and a call that is not
 //! made in full in time, or when its place is needed, is cut off.
 
-use crate::clock::{Clock, Millis};
-use crate::descriptors::{Descriptors, Purpose};
-use crate::handover::Handover;
-use crate::places::{Place, Places};
+use crate::io::clock::{Clock, Millis};
+use crate::io::descriptors::{Descriptors, Purpose};
+use crate::io::places::{Place, Places};
+use crate::io::pump;
+use crate::operations::handover::Handover;
 use crate::protocol::admin::{self, Answer, Asked};
 use crate::protocol::http::{self, Call, Read};
 use crate::protocol::line;
-use crate::pump;
 use marllink::ServerId;
 use socket2::SockRef;
 use std::net::Shutdown;
--- a/node/src/handover.rs
+++ b/node/src/operations/handover.rs
@@ -4,12 +4,12 @@
 //! the listening sockets themselves, the clients' and this one, so that there is one queue of clients
 //! and one place to ask, and a snapshot. From then on the link tells each what the other must know.
 
-use crate::clock::{Clock, Millis};
 use crate::core::Core;
-use crate::descriptors::Descriptors;
-use crate::directory::Directory;
-use crate::discovery::Discovery;
 use crate::exchange::{Exchange, Passed, Socket};
+use crate::io::clock::{Clock, Millis};
+use crate::io::descriptors::Descriptors;
+use crate::membership::directory::Directory;
+use crate::membership::discovery::Discovery;
 use crate::protocol::handover::{self as syntax, Connection, Hello, Holds, LONGEST, Snapshot, VERSION, Word};
 use marllink::Event;
 use rustix::net::{
--- /dev/null
+++ b/node/src/operations/mod.rs
@@ -0,0 +1,8 @@
+//! What operators do to a running process, and what they tell it.
+
+pub mod admin;
+pub mod config;
+pub mod handover;
+pub mod reload;
+pub mod shutdown;
+pub mod tuning;
--- a/node/src/reload.rs
+++ b/node/src/operations/reload.rs
@@ -1,8 +1,8 @@
 //! A new configuration while running: SIGHUP.
 
-use crate::config::{self, Config};
-use crate::handover::Handover;
-use crate::tuning::Tuning;
+use crate::operations::config::{self, Config};
+use crate::operations::handover::Handover;
+use crate::operations::tuning::Tuning;
 use marllink::Event;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
--- a/node/src/shutdown.rs
+++ b/node/src/operations/shutdown.rs
@@ -1,8 +1,8 @@
 //! A planned end: SIGTERM.
 
-use crate::clock::{Clock, Millis};
-use crate::descriptors::Purpose;
-use crate::handover::Handover;
+use crate::io::clock::{Clock, Millis};
+use crate::io::descriptors::Purpose;
+use crate::operations::handover::Handover;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// The front sends newcomers for up to 0.4 s more; they are served as before. Connections stand as
--- a/node/src/protocol/discovery.rs
+++ b/node/src/protocol/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery's lists: JSON objects, one for the whole list or for the entries that changed.
 
 use super::line::number_of;
-use crate::clock::Clock;
+use crate::io::clock::Clock;
 use marllink::{CellId, ServerEntry, ServerId, ServerState, ZoneId};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- /dev/null
+++ b/node/src/serve.rs
@@ -0,0 +1,185 @@
+//! The balancer's life as a process: it starts, alone or in the place of another, serves, and ends.
+
+use crate::front::line as front;
+use crate::host::server;
+use crate::io::clock::Clock;
+use crate::io::{descriptors, places};
+use crate::membership::{directory, discovery};
+use crate::operations::config::{self, Config};
+use crate::operations::handover::{self, Heritage};
+use crate::operations::{admin, reload, shutdown, tuning};
+use crate::{core, exchange};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::net::{TcpListener, TcpSocket};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Serves as the environment says, until a planned end; what `marllink` without arguments does.
+pub fn serve() -> ExitCode {
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    let level = variable("MARLLINK_LOG").and_then(|level| level.parse().ok());
+    log.with_max_level(level.unwrap_or(tracing::Level::INFO)).without_time().init();
+    let told = config::load(variable, |path| std::fs::read(path));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return failed(&error.to_string()),
+    };
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, start(told));
+    // What is still open is cut off; waiting for it would only delay the end.
+    runtime.shutdown_background();
+    ended.map_or_else(|message| failed(&message), |()| ExitCode::SUCCESS)
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+fn failed(message: &str) -> ExitCode {
+    eprintln!("marllink: {message}");
+    ExitCode::FAILURE
+}
+
+/// Starts in the place of a process that serves already, if there is one.
+async fn start(told: Result<Config, String>) -> Result<(), String> {
+    let clock = Clock::of_machine();
+    let listen = match &told {
+        Ok(config) => Some(config.listen),
+        // What was in force may do in its place; where to ask for it is told by the variable as well.
+        Err(_) => variable("NODE_LISTEN").and_then(|text| text.parse().ok()),
+    };
+    let meeting = listen.map(handover::path);
+    let heritage = match &meeting {
+        Some(path) => handover::ask(path, &clock).await,
+        None => None,
+    };
+    let (config, heritage) = match heritage {
+        None => (told?, None),
+        Some(heritage) => {
+            let before = &heritage.snapshot;
+            match config::inherit(told.clone(), &before.config, before.discovery, variable) {
+                Ok(config) => (config, Some(heritage)),
+                Err(message) => {
+                    tracing::warn!("the process before hands nothing over: {message}");
+                    (told?, None)
+                }
+            }
+        }
+    };
+    run(config, clock, heritage).await.map_err(|error| error.to_string())
+}
+
+/// Serves until a planned end.
+async fn run(config: Config, clock: Clock, heritage: Option<Heritage>) -> std::io::Result<()> {
+    let term = shutdown::listen()?;
+    let hangup = reload::listen()?;
+    let core = core::Core::new(clock.clone(), config.settings.decisions.clone(), config.seed);
+    let directory = Rc::new(directory::Directory::default());
+    let descriptors = descriptors::Descriptors::new(config.sockets);
+    let tuning = tuning::Tuning::new(config.settings.clone());
+    let (orders, to_servers) = tokio::sync::mpsc::unbounded_channel();
+    let (adopted, to_clients) = tokio::sync::mpsc::unbounded_channel();
+    let discovery = discovery::Discovery::new(
+        &core,
+        clock.clone(),
+        directory.clone(),
+        config.discovery,
+        config.settings.names.zones.clone(),
+    );
+    let exchange = exchange::Exchange::new(
+        core.clone(),
+        clock.clone(),
+        directory.clone(),
+        descriptors.clone(),
+        tuning.clone(),
+        orders,
+        adopted,
+    );
+    let requests: std::rc::Weak<dyn core::Requests> = Rc::downgrade(&exchange) as _;
+    core.connect(requests, discovery.clone());
+    let handover = handover::Handover::new(
+        core.clone(),
+        clock.clone(),
+        exchange.clone(),
+        descriptors.clone(),
+        discovery.clone(),
+        directory.clone(),
+        config.text.clone(),
+    );
+
+    let servers = server::Servers { clock: clock.clone(), tuning: tuning.clone() };
+    tokio::task::spawn_local(servers.run(to_servers));
+    let path = handover::path(config.listen);
+    let (listener, successors) = match heritage {
+        None => {
+            discovery.start_from(&config.known);
+            (listen(config.listen)?, handover::listen(&path))
+        }
+        Some(heritage) => {
+            let (before, link, clients, successors) = heritage.parts();
+            for (server, address) in &before.addresses {
+                directory.insert(*server, *address);
+            }
+            discovery.start_from(&before.list);
+            handover.follow(before, link);
+            (clients, Ok(successors))
+        }
+    };
+    let own = handover::lies_there(&path);
+    let listener = Rc::new(listener);
+    match successors {
+        Ok(successors) => {
+            tokio::task::spawn_local(handover.clone().listen(successors, listener.clone()));
+        }
+        // An upgrade will be a plain restart then; that is no reason not to serve.
+        Err(error) => tracing::warn!("no successor can ask at {}: {error}", path.display()),
+    }
+    if let Some(address) = config.admin {
+        let door = admin::Admin::new(clock.clone(), handover.clone(), descriptors.clone());
+        tokio::task::spawn_local(door.listen(listen(address)?));
+    }
+    let clients = Rc::new(front::Clients {
+        exchange: exchange.clone(),
+        clock: clock.clone(),
+        openings: places::Places::new(descriptors.clone(), descriptors::Purpose::Opening),
+        descriptors,
+        tuning: tuning.clone(),
+        serving: handover.serving.subscribe(),
+        turned_away: Cell::default(),
+    });
+    tracing::info!(
+        "{}: listening on {}, {} form hosts known",
+        config.name,
+        config.listen,
+        discovery.list().targets.len()
+    );
+    handover.serving.send_replace(true);
+    tokio::select! {
+        () = clients.clone().accept(listener) => {}
+        () = clients.clone().adopt(to_clients) => {}
+        () = clients.tell() => {}
+        () = exchange.watch_over() => {}
+        () = reload::follow(hangup, &config, &tuning, &handover) => {}
+        () = shutdown::orderly(term, &clock, &handover) => {}
+    }
+    if *handover.serving.borrow() && own == handover::lies_there(&path) {
+        // Nobody has taken over, or laid a socket of its own there: there is nobody to ask any more.
+        let _ = std::fs::remove_file(&path);
+    }
+    Ok(())
+}
+
+/// Listens at an address. Only where a predecessor has not answered are there two of us, each with a
+/// queue of its own.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A balancer starts again under its address at once.
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    let listening = socket.bind(address).and_then(|()| socket.listen(BACKLOG));
+    listening.map_err(|e| std::io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
+}
