--- /dev/null
+++ b/sessions/src/lib.rs
@@ -0,0 +1,23 @@
+//! Sessions that outlive the form host that holds them: the decisions of an owner, without I/O and
+//! without a clock. `docs/design/resume.md` tells what is promised and why it holds.
+//!
+//! One [`Sessions`] serves one balancer process. The node feeds [`Event`]s and carries out [`Command`]s
+//! in the order written; see [`Sessions`] for the order in which to call what. Tokens are sealed and
+//! opened by a [`KeyRing`].
+
+mod claim;
+mod journal;
+mod keys;
+mod machine;
+mod placement;
+mod session;
+mod timers;
+mod token;
+mod vocabulary;
+
+pub use keys::{KeyError, KeyRing};
+pub use machine::Sessions;
+pub use token::{Token, TokenError};
+pub use vocabulary::*;
+
+pub use marllink_keep as keep;
