--- a/sessions/tests/world/mod.rs
+++ b/sessions/tests/world/mod.rs
@@ -287,6 +287,10 @@
         let unsettled: Vec<_> =
             self.drafters[..self.first_twin].iter().filter(|d| !d.settled()).map(Drafter::name).collect();
         assert!(unsettled.is_empty(), "{unsettled:?} never got what they had confirmed");
+        self.judge()
+    }
+
+    pub fn judge(&self) -> Verdict {
         let cuts = self.cuts.clone();
         judge(&self.entries, |b, from, to| cuts.iter().any(|(c, f, t)| *c == b && *f <= to && *t >= from))
     }
