Let the line front ask for sessions, behind an operators' file and a command line

A request with s=new or s=TOKEN is claimed first and then decided as any other; leases, saves and tokens are lines between those that pass. Links to keepers, the operators' file with its schema, marllink check, schema, token inspect and completions, and JSON logs come with it. Sockets under faults are not tested yet.

--- a/keep/src/frame.rs
+++ b/keep/src/frame.rs
@@ -96,7 +96,7 @@
     ///
     /// # Errors
     /// Fails if what came is no frame.
-    pub fn next<T: Message + Default>(&mut self) -> Result<Option<T>, Malformed> {
+    pub fn next_frame<T: Message + Default>(&mut self) -> Result<Option<T>, Malformed> {
         let rest = &self.bytes[self.at..];
         // A length has ten bytes at most; with fewer there, it may still be coming.
         let length = match prost::decode_length_delimiter(rest) {
@@ -144,13 +144,13 @@
     fn garbage_and_a_frame_without_an_end_are_refused() {
         let mut frames = Frames::default();
         frames.room().extend([0xff; 12]);
-        assert_eq!(frames.next::<Call>(), Err(Malformed));
+        assert_eq!(frames.next_frame::<Call>(), Err(Malformed));
         let mut frames = Frames::default();
         prost::encode_length_delimiter(LONGEST + 1, frames.room()).expect("there is room");
-        assert_eq!(frames.next::<Call>(), Err(Malformed));
+        assert_eq!(frames.next_frame::<Call>(), Err(Malformed));
         let mut frames = Frames::default();
         frames.room().extend([3, 0xff, 0xff, 0xff]);
-        assert_eq!(frames.next::<Call>(), Err(Malformed));
+        assert_eq!(frames.next_frame::<Call>(), Err(Malformed));
     }
 
     proptest! {
@@ -168,7 +168,7 @@
                 if !begun {
                     begun = frames.line().is_some_and(|line| read_welcome(&line) == Some(1));
                 }
-                while begun && let Some(call) = frames.next::<Call>().expect("they are sound") {
+                while begun && let Some(call) = frames.next_frame::<Call>().expect("they are sound") {
                     came.push(call);
                 }
             }
--- /dev/null
+++ b/node/src/cli.rs
@@ -0,0 +1,129 @@
+//! The command line.
+
+use crate::operations::features;
+use crate::serve::{Options, serve};
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use marllink_sessions::Token;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// A load balancer for long-lived connections.
+///
+/// Without a command it serves: the environment names its configuration (NODE_CONFIG, NODE_LISTEN,
+/// NODE_DISCOVERY, NODE_ADMIN), and README.md tells more.
+#[derive(Debug, Parser)]
+#[command(name = "marllink", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+    /// The operators' file, which switches on what is off by default. MARLLINK_OPERATORS comes first.
+    #[arg(long, value_name = "FILE")]
+    operators: Option<PathBuf>,
+    /// How the log is written, to standard error.
+    #[arg(long, value_enum, default_value_t = LogFormat::Text, env = "MARLLINK_LOG_FORMAT")]
+    log_format: LogFormat,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum LogFormat {
+    /// Lines to read.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Check an operators' file and the files that it names.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Print the JSON schema of the operators' file.
+    Schema,
+    /// Look at tokens.
+    Token {
+        #[command(subcommand)]
+        command: TokenCommand,
+    },
+    /// Print what a shell needs to complete this command line.
+    Completions {
+        /// Which shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+enum TokenCommand {
+    /// Print what a token says, and whether it is good now. Keys are never printed.
+    Inspect {
+        /// The token: what stands after `TOKEN ` in the line that brought it.
+        token: String,
+        /// The key file that it was sealed by.
+        #[arg(long, value_name = "FILE")]
+        keys: PathBuf,
+    },
+}
+
+/// Does what the command line says.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let done = match cli.command {
+        None => {
+            let json_log = matches!(cli.log_format, LogFormat::Json);
+            return serve(&Options { operators: cli.operators, json_log });
+        }
+        Some(Command::Check { file }) => check(&file),
+        Some(Command::Schema) => Ok(format!("{:#}", marllink_config::schema())),
+        Some(Command::Token { command: TokenCommand::Inspect { token, keys } }) => inspect(&token, &keys),
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Cli::command(), "marllink", &mut std::io::stdout());
+            return ExitCode::SUCCESS;
+        }
+    };
+    match done {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(message) => {
+            eprintln!("marllink: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn check(file: &Path) -> Result<String, String> {
+    let features = features::load(Some(file))?;
+    let on = if features.operators.sessions.is_some() { "sessions on" } else { "nothing switched on" };
+    Ok(format!("{}: sound, {on}", file.display()))
+}
+
+fn inspect(text: &str, keys: &Path) -> Result<String, String> {
+    let keys = features::keys(keys)?;
+    let token = Token::read(text.as_bytes(), &keys).map_err(|e| format!("the token is {e}"))?;
+    let good = match Token::open(text.as_bytes(), &keys, features::unix_ms()) {
+        Ok(_) => "good now".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    let Token { session, epoch, upto, holder, keepers, issued_ms, expires_ms } = token;
+    let kept = keepers.members.iter().map(|m| format!("{:016x} in life {:x}", m.server, m.incarnation));
+    let kept = kept.collect::<Vec<_>>().join(", ");
+    let key = Token::key_of(text.as_bytes()).unwrap_or_default();
+    Ok(format!(
+        "session    {session}\nepoch      {epoch}\nconfirmed  {upto}\nform host  {holder:016x}\n\
+         keepers    {kept} (configuration {})\nissued     {issued_ms} (Unix time, ms)\n\
+         expires    {expires_ms}\nkey        {key}\nstate      {good}",
+        keepers.number
+    ))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_command_line_is_sound() {
+        Cli::command().debug_assert();
+    }
+}
--- a/node/src/exchange/holders.rs
+++ b/node/src/exchange/holders.rs
@@ -4,6 +4,7 @@
 use crate::io::clock::Millis;
 use crate::protocol::report::{self, Report};
 use marllink::{AttemptNo, Event, Outcome, RequestId, ServerId};
+use marllink_sessions::Event as SessionEvent;
 use std::rc::{Rc, Weak};
 
 /// What the client side holds of a request. Dropped, it tells that the client has left.
@@ -25,6 +26,12 @@
         self.wait_ms
     }
 
+    /// The client of a session has sent something: its saves go to those that keep them, and other whole
+    /// lines go on. False if a line is too long to be one.
+    pub fn sent_in_session(&self, pipe: &Pipe) -> bool {
+        self.exchange.client_said(self.id, pipe)
+    }
+
     /// The client has sent whole lines: they go on.
     pub fn sent(&self, pipe: &Pipe) {
         let now = self.exchange.clock.now();
@@ -70,6 +77,7 @@
     pub(super) call_off: Rc<CallOff>,
     pub(super) sent_at: Millis,
     pub(super) outcome: Outcome,
+    pub(super) asked: std::cell::Cell<bool>,
 }
 
 impl std::fmt::Debug for Errand {
@@ -102,9 +110,45 @@
         drop(entries);
         let latency_ms = exchange.clock.now() - self.sent_at;
         exchange.core.feed(Event::Established { request: self.id, attempt: self.attempt, latency_ms });
+        if let Some(resume) = exchange.session_of(self.id) {
+            resume.feed(SessionEvent::Established { request: self.id });
+        }
         true
     }
 
+    /// The form host asks for a lease.
+    pub fn renews(&self, k: u64) {
+        self.asked.set(true);
+        if let Some(resume) = self.exchange.session_of(self.id) {
+            resume.feed(SessionEvent::Renews { request: self.id, k });
+        }
+    }
+
+    /// The form host has applied all saves up to this one.
+    pub fn saved(&self, pipe: &Pipe, n: u64) {
+        pipe.waiting.borrow_mut().heard(self.exchange.clock.now());
+        if let Some(resume) = self.exchange.session_of(self.id) {
+            resume.feed(SessionEvent::Saved { request: self.id, n });
+        }
+        // There may be room again for saves that the client has sent already.
+        self.exchange.client_said(self.id, pipe);
+    }
+
+    /// True if the form host has asked for a lease and not had one.
+    pub fn asks(&self) -> bool {
+        self.asked.get() && !self.leased()
+    }
+
+    /// True once the form host has a lease.
+    pub fn leased(&self) -> bool {
+        self.exchange.session_of(self.id).is_some_and(|resume| resume.leased(self.id))
+    }
+
+    /// For how long the form host may hold the session yet.
+    pub fn hold_ms(&self) -> Millis {
+        self.exchange.session_of(self.id).map_or(0.0, |resume| resume.hold_ms(self.id))
+    }
+
     /// The form host has told the connection's load.
     pub fn load(&self, pipe: &Pipe, load: f64) {
         pipe.waiting.borrow_mut().heard(self.exchange.clock.now());
--- a/node/src/exchange/mod.rs
+++ b/node/src/exchange/mod.rs
@@ -8,21 +8,26 @@
 mod holders;
 mod orders;
 mod pipe;
+pub mod resume;
 
 use crate::core::{Core, Requests};
 use crate::host::delay::Delays;
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::{Descriptors, Purpose};
+use crate::io::pump::Between;
 use crate::io::ring::End;
 use crate::membership::directory::Directory;
 use crate::operations::tuning::Tuning;
 use crate::protocol::handover::Connection;
 use crate::protocol::line::{self, Opening};
+use crate::protocol::session::{self, FromClient};
 pub use holders::{Errand, ProbeResult, Ticket};
 use marllink::{AttemptNo, ClassId, Event, NewRequest, Outcome, RequestId, ServerId, TenantId};
+use marllink_sessions::{Ask, Event as SessionEvent};
 pub use orders::{Adopted, Attempt, Order, Probe};
 use pipe::Handoff;
 pub use pipe::{Passed, Pipe, Socket};
+use resume::Resume;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::{Rc, Weak};
@@ -81,6 +86,10 @@
     next: Option<(ServerId, Millis)>,
     /// The client side still holds its ticket.
     held: bool,
+    /// What the decisions are asked once its session is its own.
+    asks: Option<NewRequest>,
+    /// When it was taken.
+    taken_at: Millis,
 }
 
 struct Out {
@@ -104,6 +113,14 @@
     }
 }
 
+/// The ways to both sides.
+pub struct Sides {
+    /// Orders for the server side.
+    pub orders: mpsc::UnboundedSender<Order>,
+    /// What the client side adopts.
+    pub adopted: mpsc::UnboundedSender<Adopted>,
+}
+
 /// Pairs clients with attempts.
 pub struct Exchange {
     core: Rc<Core>,
@@ -120,21 +137,23 @@
     elsewhere: RefCell<HashSet<u64>>,
     delays: RefCell<Delays>,
     emptied: Notify,
+    /// Sessions, where they are switched on.
+    resume: Option<Rc<Resume>>,
     me: Weak<Exchange>,
 }
 
 impl Exchange {
-    /// An exchange that hands its orders to the server side by `orders`, and what it adopts to the
-    /// client side by `adopted`.
+    /// An exchange between both sides. Where there is `resume`, clients may ask for sessions.
     pub fn new(
         core: Rc<Core>,
         clock: Clock,
         directory: Rc<Directory>,
         descriptors: Rc<Descriptors>,
         tuning: Rc<Tuning>,
-        orders: mpsc::UnboundedSender<Order>,
-        adopted: mpsc::UnboundedSender<Adopted>,
+        sides: Sides,
+        resume: Option<Rc<Resume>>,
     ) -> Rc<Self> {
+        let Sides { orders, adopted } = sides;
         let delays = RefCell::new(Delays::new(strictest_aim(&tuning)));
         Rc::new_cyclic(|me| Self {
             core,
@@ -149,6 +168,7 @@
             elsewhere: RefCell::default(),
             delays,
             emptied: Notify::new(),
+            resume,
             me: me.clone(),
         })
     }
@@ -204,6 +224,9 @@
             time_left_ms: wait_ms - (self.clock.now() - taken_at),
             retry: opening.retry,
         };
+        let time_left_ms = new.time_left_ms;
+        let session = opening.session.as_ref().map(|(text, _)| text.clone());
+        pipe.session.set(session.is_some());
         let entry = Entry {
             _id: id_in_use,
             opening: Rc::new(opening),
@@ -213,12 +236,17 @@
             out: None,
             next: None,
             held: true,
+            asks: session.is_some().then(|| new.clone()),
+            taken_at: self.clock.now(),
         };
         self.entries.borrow_mut().insert(id, entry);
-        let time_left_ms = new.time_left_ms;
-        match at {
-            None => self.core.feed(Event::Request(new)),
-            Some(server) => {
+        match (at, session, &self.resume) {
+            (None, Some(text), Some(resume)) => {
+                let ask = if text == "new" { Ask::New } else { Ask::Resume(text.into_bytes()) };
+                resume.feed(SessionEvent::Begin { request: id, ask, wait_ms: time_left_ms });
+            }
+            (None, ..) => self.core.feed(Event::Request(new)),
+            (Some(server), ..) => {
                 self.core.feed(Event::OpenConnection { request: new, server });
                 self.send(id, server, time_left_ms);
             }
@@ -301,14 +329,19 @@
     /// Has up to `most` connections of which nothing is under way passed on. Here they are over.
     pub fn hand_off(&self, most: usize, to: &mpsc::UnboundedSender<Passed>) {
         let mut entries = self.entries.borrow_mut();
-        let idle = |e: &&mut Entry| matches!(e.phase, Phase::Standing) && e.pipe.idle();
-        for entry in entries.values_mut().filter(idle).take(most) {
+        let busy = |id| self.resume.as_ref().is_some_and(|resume| resume.is_busy(id));
+        let idle = |(id, e): &(&RequestId, &mut Entry)| {
+            matches!(e.phase, Phase::Standing) && e.pipe.idle() && !busy(**id)
+        };
+        for (id, entry) in entries.iter_mut().filter(idle).take(most) {
             let Some(out) = &entry.out else { continue };
+            let session = self.resume.as_ref().and_then(|resume| resume.pass_on(*id));
             let connection = Connection {
                 id: entry.opening.id,
                 class: entry.opening.class.clone(),
                 server: out.server,
                 load: entry.pipe.load.get(),
+                session,
             };
             let (client, host) = (RefCell::default(), RefCell::default());
             *entry.pipe.handoff.borrow_mut() =
@@ -322,7 +355,7 @@
 
     /// Goes on with a connection that a predecessor has passed on.
     pub fn adopt(&self, connection: Connection, client: TcpStream, host: TcpStream) {
-        let Connection { id, class, server, load } = connection;
+        let Connection { id, class, server, load, session } = connection;
         // The predecessor may still tell that it holds this id, but it can't be open here.
         let Some(id_in_use) = IdInUse::take(id, &self.in_use) else { return };
         let number = self.tuning.now().names.classes.number_once(&class);
@@ -341,22 +374,130 @@
             out: Some(Out { attempt, server, call_off: call_off.clone() }),
             next: None,
             held: true,
+            asks: session.is_some().then(NewRequest::default),
+            taken_at: self.clock.now(),
         };
+        pipe.session.set(session.is_some());
         self.entries.borrow_mut().insert(request, entry);
         // A class that was withdrawn before this process began has no number here, and counts as any.
         let class = ClassId(number.unwrap_or(u16::MAX));
         let new = NewRequest { request, class, ..NewRequest::default() };
         self.core.feed(Event::OpenConnection { request: new, server });
         self.core.feed(Event::ConnectionLoad { request, load });
+        if let (Some(passed), Some(resume)) = (session, &self.resume) {
+            resume.feed(SessionEvent::Adopt { request, server, passed });
+        }
         let ticket = Ticket { exchange: exchange.clone(), id: request, wait_ms: f64::INFINITY };
         let (sent_at, outcome) = (self.clock.now(), Outcome::Cancelled);
-        let errand = Errand { exchange, id: request, attempt, server, call_off, sent_at, outcome };
+        let errand = Errand {
+            exchange,
+            id: request,
+            attempt,
+            server,
+            call_off,
+            sent_at,
+            outcome,
+            asked: Cell::default(),
+        };
         let descriptor = self.descriptors.adopt();
         let _ = self.orders.send(Order::Standing { socket: host, pipe: pipe.clone(), errand, descriptor });
         let descriptor = self.descriptors.adopt();
         let _ = self.adopted.send(Adopted { socket: client, ticket, pipe, descriptor });
     }
 
+    /// Sessions, where they are switched on.
+    pub fn resume(&self) -> Option<&Rc<Resume>> {
+        self.resume.as_ref()
+    }
+
+    /// True if clients may ask for sessions.
+    pub fn resumes(&self) -> bool {
+        self.resume.is_some()
+    }
+
+    /// The request's session is its own: the decisions are asked, as for any other.
+    fn proceed(&self, id: RequestId) {
+        let now = self.clock.now();
+        let asks = self.entries.borrow().get(&id).filter(|e| matches!(e.phase, Phase::Waiting)).map(|e| {
+            let asks = e.asks.clone().unwrap_or_default();
+            NewRequest { time_left_ms: asks.time_left_ms - (now - e.taken_at), ..asks }
+        });
+        if let Some(asks) = asks {
+            self.core.feed(Event::Request(asks));
+        }
+    }
+
+    fn refuse_session(&self, id: RequestId, retry_after_ms: Millis) {
+        self.answer(id, line::busy(retry_after_ms));
+        self.core.feed(Event::ClientGone(id));
+    }
+
+    fn fail_session(&self, id: RequestId) {
+        self.answer(id, "ERR\r\n".into());
+        self.core.feed(Event::ClientGone(id));
+    }
+
+    /// Ends a connection that stands with a last line.
+    fn end_session(&self, id: RequestId, last: &str) {
+        let mut entries = self.entries.borrow_mut();
+        let Some(entry) = entries.get_mut(&id) else { return };
+        if matches!(entry.phase, Phase::Standing) {
+            finish(entry, End::Farewell(last.into()));
+            drop(entries);
+            self.closed(id);
+            self.core.feed(Event::ClientGone(id));
+        }
+    }
+
+    /// Has lines of the balancer's own come between two others.
+    fn tell(&self, id: RequestId, lines: &[u8], way: impl Fn(&Pipe) -> &Between) {
+        let pipe = self.entries.borrow().get(&id).map(|e| e.pipe.clone());
+        if let Some(pipe) = pipe
+            && !way(&pipe).add(lines)
+        {
+            // The other side does not read: there is nothing for it in going on.
+            self.end_session(id, "MOVE\r\n");
+        }
+    }
+
+    /// The machine that decides about sessions hears that a request is over.
+    fn closed(&self, id: RequestId) {
+        if let Some(resume) = &self.resume {
+            resume.feed(SessionEvent::Closed { request: id });
+        }
+    }
+
+    /// The ways of lines about a session, if this request has one.
+    fn session_of(&self, id: RequestId) -> Option<&Rc<Resume>> {
+        let has = self.entries.borrow().get(&id).is_some_and(|e| e.pipe.session.get());
+        self.resume.as_ref().filter(|_| has)
+    }
+
+    /// Takes the lines of a session's client, as far as there is room for its saves. False if one is too
+    /// long.
+    fn client_said(&self, id: RequestId, pipe: &Pipe) -> bool {
+        let Some(resume) = self.session_of(id) else { return true };
+        while resume.has_room(id)
+            && let Some(text) = pipe.up.line()
+        {
+            match session::from_client(&text) {
+                Some(FromClient::Save(field)) => {
+                    pipe.up.take(text.len());
+                    resume.feed(SessionEvent::Saves { request: id, field });
+                }
+                Some(FromClient::Have) => {
+                    pipe.up.take(text.len());
+                    resume.feed(SessionEvent::Has { request: id });
+                }
+                None => {
+                    pipe.waiting.borrow_mut().sent(self.clock.now());
+                    pipe.up.commit(text.len());
+                }
+            }
+        }
+        pipe.up.held() <= line::LONGEST || pipe.up.line().is_some()
+    }
+
     /// Refuses every request that still waits.
     pub fn refuse_all(&self) {
         for id in self.ids(|e| matches!(e.phase, Phase::Waiting)) {
@@ -390,6 +531,7 @@
         }
         finish(entry, End::Farewell(line));
         drop(entries);
+        self.closed(id);
         self.forget(id);
     }
 
@@ -402,6 +544,7 @@
         finish(entry, End::Reset);
         drop(entries);
         if left {
+            self.closed(id);
             self.core.feed(Event::ClientGone(id));
         }
         self.forget(id);
@@ -420,7 +563,14 @@
         }
         let closed = matches!(entry.phase, Phase::Over);
         let next = entry.next.take();
+        let session = entry.asks.is_some();
         drop(entries);
+        if let Some(resume) = self.resume.as_ref().filter(|_| session) {
+            resume.feed(SessionEvent::AttemptEnded { request: id, over: outcome == Outcome::Ok });
+            if closed {
+                self.closed(id);
+            }
+        }
         self.core.feed(Event::AttemptEnded { request: id, attempt, outcome, closed });
         if let Some((server, timeout_ms)) = next {
             self.send(id, server, timeout_ms);
@@ -493,10 +643,16 @@
             call_off,
             sent_at: self.clock.now(),
             outcome: Outcome::Cancelled,
+            asked: Cell::default(),
         };
         let (opening, pipe) = (entry.opening.clone(), entry.pipe.clone());
+        let session = entry.asks.is_some();
         drop(entries);
-        let attempt = Attempt { address, opening, wait_ms: timeout_ms, pipe, errand, descriptor };
+        let held_as = self.resume.as_ref().filter(|_| session).and_then(|resume| {
+            resume.feed(SessionEvent::Attempt { request: id, server });
+            resume.held_as(id)
+        });
+        let attempt = Attempt { held_as, address, opening, wait_ms: timeout_ms, pipe, errand, descriptor };
         // If the server side has ended, so has the program; the errand's drop ends the attempt.
         let _ = self.orders.send(Order::Attempt(attempt));
     }
@@ -525,6 +681,8 @@
         let Some(entry) = entries.get_mut(&id) else { return };
         if matches!(entry.phase, Phase::Standing) {
             finish(entry, End::Farewell("MOVE\r\n".into()));
+            drop(entries);
+            self.closed(id);
         }
     }
 
--- a/node/src/exchange/orders.rs
+++ b/node/src/exchange/orders.rs
@@ -48,6 +48,8 @@
     pub address: SocketAddr,
     /// What the client asked.
     pub opening: Rc<Opening>,
+    /// How the form host is to hold its session, if it has one.
+    pub held_as: Option<String>,
     /// How long the attempt may take until it stands.
     pub wait_ms: Millis,
     /// The connection's two directions.
--- a/node/src/exchange/pipe.rs
+++ b/node/src/exchange/pipe.rs
@@ -2,6 +2,7 @@
 
 use crate::host::delay::Waiting;
 use crate::io::descriptors::Descriptor;
+use crate::io::pump::Between;
 use crate::io::ring::Ring;
 use crate::protocol::handover::Connection;
 use marllink::Outcome;
@@ -24,6 +25,12 @@
     pub(super) load: Cell<f64>,
     /// What the form host has said of the connection's end, if that was its last line.
     pub last_word: Cell<Option<Outcome>>,
+    /// The connection has a session: lines of the balancer's own come between those of both sides.
+    pub session: Cell<bool>,
+    /// Such lines for the form host ...
+    pub to_host: Between,
+    /// ... and for the client.
+    pub to_client: Between,
     pub(super) handoff: RefCell<Option<Rc<Handoff>>>,
 }
 
@@ -37,6 +44,9 @@
             waiting: RefCell::default(),
             load: Cell::default(),
             last_word: Cell::default(),
+            session: Cell::default(),
+            to_host: Between::default(),
+            to_client: Between::default(),
             handoff: RefCell::default(),
         })
     }
@@ -48,7 +58,12 @@
 
     /// True if another process could go on with the connection from here.
     pub(super) fn idle(&self) -> bool {
-        self.up.idle() && self.down.idle() && self.waiting.borrow().none() && self.last_word.get().is_none()
+        self.up.idle()
+            && self.down.idle()
+            && self.to_host.is_empty()
+            && self.to_client.is_empty()
+            && self.waiting.borrow().none()
+            && self.last_word.get().is_none()
     }
 
     /// Gives the client's socket back, once nothing is done with it any more: it is closed, or passed
--- a/node/src/front/line.rs
+++ b/node/src/front/line.rs
@@ -174,16 +174,26 @@
                     place.answered();
                 }
                 // A client waits for its answer before it sends more.
-                Some(Hello::Open(opening)) if pipe.up.held() == 0 => return Ok(*opening),
+                Some(Hello::Open(opening)) if pipe.up.held() == 0 && self.may_ask(&opening) => {
+                    return Ok(*opening);
+                }
                 _ => break,
             }
         }
         Err(Unsound::Malformed)
     }
 
+    /// Sessions are asked for only where they are switched on; else that is no line of the protocol.
+    fn may_ask(&self, opening: &Opening) -> bool {
+        opening.session.is_none() || self.exchange.resumes() && opening.at.is_none()
+    }
+
     /// Carries one request and its connection.
     async fn carry(&self, stream: &TcpStream, ticket: Ticket, pipe: &Pipe) {
         let reading = pump::fill(stream, &pipe.up, || {
+            if pipe.standing() && pipe.session.get() {
+                return ticket.sent_in_session(pipe);
+            }
             if pipe.standing() {
                 ticket.sent(pipe);
             } else {
@@ -191,7 +201,13 @@
             }
             true
         });
-        let writing = pump::empty(&pipe.down, stream);
+        let writing = async {
+            if pipe.session.get() {
+                pump::empty_between(&pipe.down, &pipe.to_client, stream).await
+            } else {
+                pump::empty(&pipe.down, stream).await
+            }
+        };
         tokio::pin!(reading, writing);
         let mut client_may_send = true;
         let more = tokio::select! {
--- a/node/src/host/mod.rs
+++ b/node/src/host/mod.rs
@@ -1,4 +1,5 @@
 //! The side of form hosts.
 
 pub mod delay;
+pub mod links;
 pub mod server;
--- a/node/src/host/server.rs
+++ b/node/src/host/server.rs
@@ -7,7 +7,10 @@
 use crate::io::ring::{End, Ring};
 use crate::operations::tuning::Tuning;
 use crate::protocol::line::{self, LONGEST, Reply};
+use crate::protocol::session::{self, FromHost};
 use marllink::Outcome;
+use socket2::SockRef;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -17,6 +20,8 @@
 const LINGER_MS: Millis = 30_000.0;
 /// A probe that has no answer by then has failed.
 const PROBE_MS: Millis = 1_000.0;
+/// What a form host still says that nobody waits for is dropped in pieces of this size.
+const DROPPED: usize = 16 * 1024;
 
 /// The server side.
 #[derive(Clone)]
@@ -41,7 +46,7 @@
                             outcome = errand.called_off() => outcome,
                             outcome = servers.stand(&socket, &pipe, &errand) => outcome,
                         };
-                        part(socket, descriptor, &pipe, errand, outcome);
+                        servers.part(socket, descriptor, &pipe, errand, outcome).await;
                     }
                     Order::Probe(probe) => servers.probe(probe).await,
                 }
@@ -51,7 +56,7 @@
 
     /// Makes an attempt and, if it stands, carries its connection to the end.
     async fn attempt(&self, attempt: Attempt) {
-        let Attempt { address, opening, wait_ms, pipe, errand, descriptor } = attempt;
+        let Attempt { address, opening, held_as, wait_ms, pipe, errand, descriptor } = attempt;
         let until = self.clock.now() + wait_ms;
         let connecting = self.connect(address, wait_ms);
         let stream = tokio::select! {
@@ -63,7 +68,7 @@
             Ok(stream) => {
                 let talk = async {
                     let left = until - self.clock.now();
-                    let head = opening.for_host(left);
+                    let head = opening.for_host(left, held_as.as_deref());
                     match self.set_up(&stream, &head, left, &pipe, &errand).await {
                         Ok(()) => self.stand(&stream, &pipe, &errand).await,
                         Err(outcome) => outcome,
@@ -74,7 +79,7 @@
                     outcome = errand.called_off() => outcome,
                     outcome = talk => outcome,
                 };
-                part(stream, descriptor, &pipe, errand, outcome);
+                self.part(stream, descriptor, &pipe, errand, outcome).await;
             }
             Err(outcome) => {
                 drop(descriptor);
@@ -107,10 +112,19 @@
             Some(Err(_)) | None => return Err(Outcome::ConnectFailed),
         }
         let down = &pipe.down;
-        let answer = self.clock.within(until - self.clock.now(), first_line(stream, down)).await;
+        let left = until - self.clock.now();
+        let answer = if pipe.session.get() {
+            self.clock.within(left, session_answer(stream, pipe, errand)).await
+        } else {
+            self.clock.within(left, first_line(stream, down)).await
+        };
         let outcome = match answer.as_ref().map(|line| line.as_deref().map(line::reply)) {
+            // One that waits for its keepers is not to blame.
+            None if pipe.session.get() && errand.asks() => Outcome::Cancelled,
             None => Outcome::TimedOut,
             Some(None) => Outcome::Reset,
+            // It has a session that nobody gave it.
+            Some(Some(Reply::Up)) if pipe.session.get() && !errand.leased() => Outcome::Error,
             Some(Some(Reply::Up)) => {
                 let line = answer.flatten().unwrap_or_default();
                 down.commit(line.len());
@@ -139,7 +153,13 @@
             return Outcome::Reset;
         }
         let reading = pump::fill(stream, &pipe.down, arrived);
-        let writing = pump::empty(&pipe.up, stream);
+        let writing = async {
+            if pipe.session.get() {
+                pump::empty_between(&pipe.up, &pipe.to_host, stream).await
+            } else {
+                pump::empty(&pipe.up, stream).await
+            }
+        };
         tokio::pin!(reading, writing);
         let (end, client_left) = tokio::select! {
             end = &mut reading => (end, false),
@@ -193,14 +213,54 @@
     }
 }
 
-/// Gives a form host's socket back. An attempt that has ended must not be out any more, so that is
-/// told after it.
-fn part(socket: TcpStream, descriptor: Descriptor, pipe: &Pipe, errand: Errand, outcome: Outcome) {
-    if pipe.up.broken() {
-        pump::reset(&socket);
+impl Servers {
+    /// Gives a form host's socket back. An attempt that has ended must not be out any more, so that is
+    /// told after it; and one that has a session may hold it until it ends its side, or its lease does.
+    async fn part(
+        &self,
+        socket: TcpStream,
+        descriptor: Descriptor,
+        pipe: &Pipe,
+        errand: Errand,
+        outcome: Outcome,
+    ) {
+        if pipe.session.get() && !pipe.handed_over() {
+            let _ = SockRef::from(&socket).shutdown(Shutdown::Write);
+            let rest = async { while let Ok(true) = pump::discard(&socket, DROPPED).await {} };
+            self.clock.within(errand.hold_ms(), rest).await;
+        }
+        if pipe.up.broken() {
+            pump::reset(&socket);
+        }
+        pipe.part_from_host(socket, descriptor);
+        errand.end(outcome);
+    }
+}
+
+/// Reads the answer of a form host that is to hold a session: before that it asks for a lease, and is
+/// told what has been saved.
+async fn session_answer(stream: &TcpStream, pipe: &Pipe, errand: &Errand) -> Option<Vec<u8>> {
+    let telling = async {
+        loop {
+            pipe.to_host.some().await;
+            if pump::write_all(stream, &pipe.to_host.take()).await.is_err() {
+                return;
+            }
+        }
+    };
+    let hearing = async {
+        loop {
+            let line = first_line(stream, &pipe.down).await?;
+            let Some(FromHost::Renew(k)) = session::from_host(&line) else { return Some(line) };
+            pipe.down.discard(line.len());
+            errand.renews(k);
+        }
+    };
+    tokio::select! {
+        biased;
+        line = hearing => line,
+        () = telling => None,
     }
-    pipe.part_from_host(socket, descriptor);
-    errand.end(outcome);
 }
 
 /// Reads a first line, and leaves it held; `None` if the connection ends before, or it is too long.
@@ -215,6 +275,24 @@
 fn pass_lines(pipe: &Pipe, errand: &Errand) -> bool {
     let last = &pipe.last_word;
     while let Some(line) = pipe.down.line() {
+        match session::from_host(&line).filter(|_| pipe.session.get()) {
+            Some(FromHost::Renew(k)) => {
+                pipe.down.take(line.len());
+                errand.renews(k);
+                continue;
+            }
+            Some(FromHost::Saved(n)) => {
+                pipe.down.commit(line.len());
+                errand.saved(pipe, n);
+                continue;
+            }
+            Some(FromHost::Taken) => {
+                last.set(Some(Outcome::Cancelled));
+                pipe.down.commit(line.len());
+                continue;
+            }
+            None => {}
+        }
         last.set(None);
         match line::reply(&line) {
             Reply::Load(load) => errand.load(pipe, load),
--- a/node/src/io/clock.rs
+++ b/node/src/io/clock.rs
@@ -69,6 +69,16 @@
         if unix > 0.0 { (unix - start + START).max(0.0) } else { 0.0 }
     }
 
+    /// The Unix time now, in milliseconds. It goes with this clock: a wall clock that is set meanwhile
+    /// does not change it.
+    pub fn unix(&self) -> Millis {
+        match &*self.0 {
+            Source::Machine { unix_ms, .. } => self.now() - START + unix_ms,
+            #[cfg(test)]
+            Source::Set { .. } => self.now() - START + 1_000_000_000.0,
+        }
+    }
+
     /// Waits for `ms`; not at all if that is negative.
     pub async fn sleep(&self, ms: Millis) {
         match &*self.0 {
--- a/node/src/io/pump.rs
+++ b/node/src/io/pump.rs
@@ -2,11 +2,13 @@
 
 use crate::io::ring::{End, Ring};
 use socket2::SockRef;
+use std::cell::RefCell;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// Fills the ring with what the socket brings, until the sender ends its sending, the connection
 /// breaks, or the direction ends; `arrived` is called after each fill and tells whether to go on.
@@ -61,6 +63,83 @@
     }
 }
 
+/// Sends what the ring holds as [`empty`] does, and between two of its lines what is to come between them.
+/// Only whole lines may be committed to such a ring.
+pub async fn empty_between(ring: &Ring, between: &Between, stream: &TcpStream) -> bool {
+    let mut whole = true;
+    loop {
+        if whole {
+            let lines = between.take();
+            if !lines.is_empty() && write_all(stream, &lines).await.is_err() {
+                return false;
+            }
+        }
+        let ready = tokio::select! {
+            biased;
+            () = between.some(), if whole => continue,
+            ready = ring.ready() => ready,
+        };
+        if ready.is_some() {
+            return empty(ring, stream).await;
+        }
+        let written = stream.writable().await.and_then(|()| {
+            ring.empty(|bytes| {
+                // To the end of a line and no further, if there is one.
+                let end = bytes.iter().position(|b| *b == b'\n').map_or(bytes.len(), |at| at + 1);
+                let n = stream.try_write(&bytes[..end])?;
+                whole = n > 0 && bytes[n - 1] == b'\n';
+                Ok(n)
+            })
+        });
+        match written {
+            Ok(_) => {}
+            Err(e) if again(&e) => {}
+            Err(_) => return false,
+        }
+    }
+}
+
+/// Lines that come between those of a ring.
+#[derive(Debug, Default)]
+pub struct Between {
+    lines: RefCell<Vec<u8>>,
+    added: Notify,
+}
+
+/// Who lets so many bytes wait does not read any more.
+const MOST_BETWEEN: usize = 1024 * 1024;
+
+impl Between {
+    /// Adds whole lines. False if they are not taken: too much waits already.
+    pub fn add(&self, lines: &[u8]) -> bool {
+        let mut waiting = self.lines.borrow_mut();
+        if waiting.len() + lines.len() > MOST_BETWEEN {
+            return false;
+        }
+        waiting.extend_from_slice(lines);
+        drop(waiting);
+        self.added.notify_one();
+        true
+    }
+
+    /// All that wait.
+    pub fn take(&self) -> Vec<u8> {
+        std::mem::take(&mut *self.lines.borrow_mut())
+    }
+
+    /// True if none wait.
+    pub fn is_empty(&self) -> bool {
+        self.lines.borrow().is_empty()
+    }
+
+    /// Waits until there are some.
+    pub async fn some(&self) {
+        while self.is_empty() {
+            self.added.notified().await;
+        }
+    }
+}
+
 /// Writes all bytes.
 pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
--- a/node/src/io/ring.rs
+++ b/node/src/io/ring.rs
@@ -114,6 +114,18 @@
         self.filled.notify_one();
     }
 
+    /// Takes the first `n` bytes held out, whatever is committed before them: those after move up.
+    pub fn take(&self, n: usize) {
+        let state = &mut *self.state.borrow_mut();
+        let (capacity, n) = (state.bytes.len(), n.min(state.held));
+        let start = state.head + state.committed;
+        for i in 0..state.held - n {
+            state.bytes[(start + i) % capacity] = state.bytes[(start + i + n) % capacity];
+        }
+        state.held -= n;
+        self.emptied.notify_one();
+    }
+
     /// Drops the first `n` bytes held. Only to be called while nothing is committed.
     pub fn discard(&self, n: usize) {
         let state = &mut *self.state.borrow_mut();
@@ -241,6 +253,22 @@
         assert_eq!(sent, got);
     }
 
+    #[test]
+    fn a_line_can_be_taken_out_between_what_is_committed_and_what_is_held() {
+        let ring = Ring::with_capacity(8);
+        put(&ring, b"xxxx");
+        ring.commit(4);
+        assert_eq!(take(&ring), b"xxxx");
+        put(&ring, b"a\nbb");
+        ring.commit(2);
+        put(&ring, b"\ncc\n");
+        assert_eq!(ring.line().as_deref(), Some(&b"bb\n"[..]));
+        ring.take(3);
+        assert_eq!(ring.line().as_deref(), Some(&b"cc\n"[..]));
+        ring.commit(3);
+        assert_eq!(take(&ring), b"a\ncc\n");
+    }
+
     #[test]
     fn a_ring_is_idle_while_it_holds_nothing_and_has_not_ended() {
         let ring = Ring::new();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! a running process; `io` is what all of them stand on; `protocol` is syntax alone. `core` runs the
 //! decisions, and `serve` puts the parts together.
 
+mod cli;
 mod core;
 mod exchange;
 mod front;
@@ -15,4 +16,4 @@
 mod protocol;
 mod serve;
 
-pub use serve::serve;
+pub use cli::main;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    marllink_node::serve()
+    marllink_node::main()
 }
--- a/node/src/membership/discovery.rs
+++ b/node/src/membership/discovery.rs
@@ -4,6 +4,7 @@
 //! it failed. When to ask again is theirs to decide.
 
 use crate::core::{Core, Membership};
+use crate::exchange::resume::Resume;
 use crate::io::clock::{Clock, Millis};
 use crate::io::pump;
 use crate::membership::directory::Directory;
@@ -39,6 +40,8 @@
     /// The call for the whole list that is under way, and the watch that is open, if there are any.
     fetch: RefCell<Option<AbortHandle>>,
     watch: RefCell<Option<AbortHandle>>,
+    /// Who else must know of form hosts, if anybody.
+    resume: RefCell<Option<Rc<Resume>>>,
     me: Weak<Discovery>,
 }
 
@@ -61,10 +64,16 @@
             rev: Cell::new(0),
             fetch: RefCell::new(None),
             watch: RefCell::new(None),
+            resume: RefCell::new(None),
             me: me.clone(),
         })
     }
 
+    /// Tells sessions of form hosts as well. To be called before the first list.
+    pub fn tell_sessions(&self, resume: Rc<Resume>) {
+        self.resume.replace(Some(resume));
+    }
+
     /// Begins with the list as it was known before the start; it may be old.
     pub fn start_from(&self, known: &List) {
         self.tell(known, ListKind::Cached);
@@ -121,6 +130,10 @@
         if kind != ListKind::Cached {
             self.directory.tell();
         }
+        if let Some(resume) = self.resume.borrow().as_ref() {
+            let listed = self.targets.borrow().values().map(|t| t.listed(&self.zones)).collect();
+            resume.listed(listed);
+        }
         let entries = list.targets.iter().map(|t| t.entry(&self.clock, &self.zones)).collect();
         self.feed(Event::ServerList { kind, entries });
     }
--- a/node/src/operations/mod.rs
+++ b/node/src/operations/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod config;
+pub mod features;
 pub mod handover;
 pub mod reload;
 pub mod shutdown;
--- a/node/src/operations/reload.rs
+++ b/node/src/operations/reload.rs
@@ -1,9 +1,12 @@
 //! A new configuration while running: SIGHUP.
 
 use crate::operations::config::{self, Config};
+use crate::operations::features::{self, Features};
 use crate::operations::handover::Handover;
 use crate::operations::tuning::Tuning;
 use marllink::Event;
+use marllink_sessions::Event as SessionEvent;
+use std::path::Path;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Listens for SIGHUP from now on; one that came unheard would end the program.
@@ -16,8 +19,21 @@
 
 /// Reads the file again at each SIGHUP and goes over to the settings and the discovery in it, for
 /// ever. Nothing is taken of a file that can't be read, lacks something or is wrong.
-pub async fn follow(mut hangup: Signal, running: &Config, tuning: &Tuning, handover: &Handover) {
+pub async fn follow(
+    mut hangup: Signal,
+    running: &Config,
+    tuning: &Tuning,
+    handover: &Handover,
+    operators: Option<&Path>,
+) {
     while hangup.recv().await.is_some() {
+        let features = match features::load(operators) {
+            Ok(features) => features,
+            Err(message) => {
+                tracing::error!("SIGHUP: the configuration stays as it was: {message}");
+                continue;
+            }
+        };
         let in_force = handover.config.borrow().clone();
         let read = config::reload(|name| std::env::var(name).ok(), |path| std::fs::read(path), &in_force);
         match read {
@@ -33,8 +49,21 @@
                 handover.core.feed(Event::Settings(tuning.now().decisions.clone()));
                 handover.discovery.go_over_to(config.discovery);
                 handover.config.replace(config.text);
+                retune(handover, features);
             }
             Err(message) => tracing::error!("SIGHUP: the configuration stays as it was: {message}"),
         }
     }
 }
+
+/// Has what operators have switched on go over to new settings and keys.
+fn retune(handover: &Handover, features: Features) {
+    match (handover.exchange.resume(), features.operators.sessions, features.keys) {
+        (Some(resume), Some(sessions), Some(keys)) => {
+            resume.feed(SessionEvent::Settings(sessions.settings()));
+            resume.feed(SessionEvent::Keys(keys));
+        }
+        (None, None, _) => {}
+        _ => tracing::warn!("SIGHUP: held as it was until the next start: sessions on or off"),
+    }
+}
--- a/node/src/protocol/discovery.rs
+++ b/node/src/protocol/discovery.rs
@@ -59,11 +59,24 @@
         ServerId(number_of(&self.uid))
     }
 
+    /// The entry as those take it who decide about sessions.
+    pub fn listed(&self, zones: &[String]) -> marllink_sessions::Listed {
+        marllink_sessions::Listed {
+            server: self.server(),
+            zone: self.zone(zones),
+            ready: self.state == State::Serving,
+        }
+    }
+
+    fn zone(&self, zones: &[String]) -> ZoneId {
+        ZoneId(zones.iter().position(|z| *z == self.az).map_or(u8::MAX, |at| at as u8))
+    }
+
     /// The entry as the decisions take it; a zone that the settings do not name is no one's own.
     pub fn entry(&self, clock: &Clock, zones: &[String]) -> ServerEntry {
         ServerEntry {
             server: self.server(),
-            zone: ZoneId(zones.iter().position(|z| *z == self.az).map_or(u8::MAX, |at| at as u8)),
+            zone: self.zone(zones),
             cell: CellId(self.pod_group),
             state: match self.state {
                 State::Serving => ServerState::Ready,
--- a/node/src/protocol/handover.rs
+++ b/node/src/protocol/handover.rs
@@ -76,6 +76,9 @@
     pub server: ServerId,
     /// Its load, as last told.
     pub load: f64,
+    /// Its session, if it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub session: Option<marllink_sessions::Passed>,
 }
 
 /// A value as it is written, its line end included.
--- a/node/src/protocol/line.rs
+++ b/node/src/protocol/line.rs
@@ -12,6 +12,9 @@
 /// The longest line in bytes, its end included.
 pub const LONGEST: usize = 4 * 1024;
 
+/// No token is shorter, and no figure as long.
+const SHORTEST_TOKEN: usize = 60;
+
 type Text<'a> = LocatingSlice<&'a [u8]>;
 
 /// A line that asks for a connection.
@@ -33,6 +36,8 @@
     pub retry: bool,
     /// The form host at which the connection was open before.
     pub at: Option<String>,
+    /// A session: `new`, or a token to go on by, and where that stands in the line.
+    pub session: Option<(String, Range<usize>)>,
 }
 
 impl Opening {
@@ -42,11 +47,24 @@
     }
 
     /// The line for a form host: unchanged, but that it tells how long the balancer will wait.
-    pub fn for_host(&self, wait_ms: f64) -> Vec<u8> {
-        let mut line = self.line[..self.wait_at.start].to_vec();
+    ///
+    /// `held_as` tells how the form host is to hold the session, if one is asked for; a token is for
+    /// balancers alone.
+    pub fn for_host(&self, wait_ms: f64, held_as: Option<&str>) -> Vec<u8> {
         // Rounded down: the host must not be told of time that is not there.
-        line.extend((wait_ms.max(1.0) as u64).to_string().bytes());
-        line.extend_from_slice(&self.line[self.wait_at.end..]);
+        let wait = (wait_ms.max(1.0) as u64).to_string();
+        let mut parts = vec![(&self.wait_at, wait.as_str())];
+        if let (Some((_, at)), Some(held_as)) = (&self.session, held_as) {
+            parts.push((at, held_as));
+        }
+        parts.sort_by_key(|(at, _)| at.start);
+        let (mut line, mut from) = (Vec::with_capacity(self.line.len()), 0);
+        for (at, text) in parts {
+            line.extend_from_slice(&self.line[from..at.start]);
+            line.extend_from_slice(text.as_bytes());
+            from = at.end;
+        }
+        line.extend_from_slice(&self.line[from..]);
         line
     }
 }
@@ -175,6 +193,9 @@
             "g" => _ = hex.parse(LocatingSlice::new(text.as_bytes())).ok()?,
             "t" => opening.tenant = Some((*text).to_owned()),
             "at" => opening.at = Some((*text).to_owned()),
+            "s" if *text == "new" || text.len() >= SHORTEST_TOKEN => {
+                opening.session = Some(((*text).to_owned(), span.clone()));
+            }
             "r" => opening.retry = flag(text)?,
             "again" => _ = flag(text)?,
             // A figure that only the form host uses.
@@ -217,7 +238,7 @@
         let opening = open(LINE).expect("it is well formed");
         assert_eq!((opening.id, opening.class.as_str()), (0x9b1f_03aa_5c7e_2d41, "chat"));
         assert_eq!((opening.wait_ms, opening.retry, &opening.at), (2000.0, true, &None));
-        let line = String::from_utf8(opening.for_host(981.7)).expect("it is text");
+        let line = String::from_utf8(opening.for_host(981.7, None)).expect("it is text");
         assert_eq!(line, String::from_utf8_lossy(LINE).replace("d=2000", "d=981"));
     }
 
--- a/node/src/protocol/mod.rs
+++ b/node/src/protocol/mod.rs
@@ -6,3 +6,4 @@
 pub mod http;
 pub mod line;
 pub mod report;
+pub mod session;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -1,35 +1,57 @@
 //! The balancer's life as a process: it starts, alone or in the place of another, serves, and ends.
 
+use crate::exchange::resume::Resume;
 use crate::front::line as front;
 use crate::host::server;
 use crate::io::clock::Clock;
 use crate::io::{descriptors, places};
 use crate::membership::{directory, discovery};
 use crate::operations::config::{self, Config};
+use crate::operations::features::{self, Features};
 use crate::operations::handover::{self, Heritage};
 use crate::operations::{admin, reload, shutdown, tuning};
 use crate::{core, exchange};
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
 
+/// How to serve, besides what the environment says.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    /// The operators' file.
+    pub operators: Option<PathBuf>,
+    /// The log is JSON, an object a line.
+    pub json_log: bool,
+}
+
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 
 /// Serves as the environment says, until a planned end; what `marllink` without arguments does.
-pub fn serve() -> ExitCode {
+pub fn serve(options: &Options) -> ExitCode {
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
     let level = variable("MARLLINK_LOG").and_then(|level| level.parse().ok());
-    log.with_max_level(level.unwrap_or(tracing::Level::INFO)).without_time().init();
+    let log = log.with_max_level(level.unwrap_or(tracing::Level::INFO));
+    if options.json_log {
+        log.json().flatten_event(true).init();
+    } else {
+        log.without_time().init();
+    }
+    let operators = features::path(options.operators.clone());
+    let features = match features::load(operators.as_deref()) {
+        Ok(features) => features,
+        Err(message) => return failed(&message),
+    };
     let told = config::load(variable, |path| std::fs::read(path));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => return failed(&error.to_string()),
     };
-    let ended = tokio::task::LocalSet::new().block_on(&runtime, start(told));
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, start(told, features, operators));
     // What is still open is cut off; waiting for it would only delay the end.
     runtime.shutdown_background();
     ended.map_or_else(|message| failed(&message), |()| ExitCode::SUCCESS)
@@ -45,7 +67,11 @@
 }
 
 /// Starts in the place of a process that serves already, if there is one.
-async fn start(told: Result<Config, String>) -> Result<(), String> {
+async fn start(
+    told: Result<Config, String>,
+    features: Features,
+    operators: Option<PathBuf>,
+) -> Result<(), String> {
     let clock = Clock::of_machine();
     let listen = match &told {
         Ok(config) => Some(config.listen),
@@ -70,11 +96,17 @@
             }
         }
     };
-    run(config, clock, heritage).await.map_err(|error| error.to_string())
+    run(config, clock, heritage, features, operators.as_deref()).await.map_err(|error| error.to_string())
 }
 
 /// Serves until a planned end.
-async fn run(config: Config, clock: Clock, heritage: Option<Heritage>) -> std::io::Result<()> {
+async fn run(
+    config: Config,
+    clock: Clock,
+    heritage: Option<Heritage>,
+    features: Features,
+    operators: Option<&Path>,
+) -> std::io::Result<()> {
     let term = shutdown::listen()?;
     let hangup = reload::listen()?;
     let core = core::Core::new(clock.clone(), config.settings.decisions.clone(), config.seed);
@@ -90,15 +122,36 @@
         config.discovery,
         config.settings.names.zones.clone(),
     );
+    let resume = match (&features.operators.sessions, features.keys) {
+        (Some(sessions), Some(keys)) => {
+            let mut seed = [0; 32];
+            getrandom::fill(&mut seed).map_err(|e| std::io::Error::other(e.to_string()))?;
+            Some(Resume::new(
+                clock.clone(),
+                sessions.settings(),
+                keys,
+                seed,
+                directory.clone(),
+                descriptors.clone(),
+                tuning.clone(),
+            ))
+        }
+        _ => None,
+    };
     let exchange = exchange::Exchange::new(
         core.clone(),
         clock.clone(),
         directory.clone(),
         descriptors.clone(),
         tuning.clone(),
-        orders,
-        adopted,
+        exchange::Sides { orders, adopted },
+        resume.clone(),
     );
+    if let Some(resume) = &resume {
+        resume.connect(Rc::downgrade(&exchange));
+        discovery.tell_sessions(resume.clone());
+        tracing::info!("sessions are on: form hosts are asked to keep them");
+    }
     let requests: std::rc::Weak<dyn core::Requests> = Rc::downgrade(&exchange) as _;
     core.connect(requests, discovery.clone());
     let handover = handover::Handover::new(
@@ -163,7 +216,7 @@
         () = clients.clone().adopt(to_clients) => {}
         () = clients.tell() => {}
         () = exchange.watch_over() => {}
-        () = reload::follow(hangup, &config, &tuning, &handover) => {}
+        () = reload::follow(hangup, &config, &tuning, &handover, operators) => {}
         () = shutdown::orderly(term, &clock, &handover) => {}
     }
     if *handover.serving.borrow() && own == handover::lies_there(&path) {
