Run the real daemon between stand-ins: emulator on sockets, and a lab that judges the run

The operators want to see that a session outlives its form host. Hosts, discovery and drafters run on loopback, three balancers as processes; the lab kills, stalls, splits, drains and upgrades, shows stolen and forged tokens, and a judge reads only what clients and hosts wrote down. Tokens came before the answer UP; they come after it now.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod judge;
 pub mod model;
+pub mod sockets;
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,175 @@
+//! `marllink-lab`: experiments with the real daemon between stand-ins.
+
+mod balancers;
+mod experiment;
+mod results;
+mod run;
+
+use clap::{Parser, Subcommand};
+use experiment::{Experiment, Fault, Fleet, Load, Sessions, What};
+use marllink_emulator::model::Plant;
+use results::Sample;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Experiments with the real daemon between stand-ins, on this machine's loopback addresses.
+#[derive(Debug, Parser)]
+#[command(name = "marllink-lab", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run an experiment, and exit with 0 only if no rule was broken and every bound holds.
+    Run {
+        /// The experiment's file.
+        file: PathBuf,
+        /// Plant this bug, which the experiment must then find.
+        #[arg(long, value_name = "NAME")]
+        plant: Option<Plant>,
+        /// Where the folder of results goes.
+        #[arg(long, value_name = "FOLDER", default_value = "target/lab")]
+        out: PathBuf,
+        /// Print nothing but the verdict.
+        #[arg(long)]
+        quiet: bool,
+    },
+    /// Start form hosts, discovery, balancers and drafters, kill a form host now and then, and show what
+    /// becomes of the drafters' sessions.
+    Demo {
+        /// For how long.
+        #[arg(long, default_value_t = 30)]
+        seconds: u32,
+        /// How many drafters.
+        #[arg(long, default_value_t = 60)]
+        drafters: usize,
+    },
+    /// Print the JSON schema of experiment files.
+    Schema,
+    /// Serve as the daemon under test does, with the environment as `marllink` takes it.
+    #[command(hide = true)]
+    Daemon,
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Daemon => return marllink_node::serve(&marllink_node::Options::default()),
+        Command::Schema => {
+            println!("{:#}", experiment::schema());
+            Ok(true)
+        }
+        Command::Run { file, plant, out, quiet } => read(&file).and_then(|e| run(&e, plant, &out, quiet)),
+        Command::Demo { seconds, drafters } => {
+            run(&demo(seconds, drafters), None, Path::new("target/lab"), false)
+        }
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(message) => {
+            eprintln!("marllink-lab: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<Experiment, String> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    let problems = |all: Vec<marllink_config::Problem>| {
+        all.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+    };
+    let experiment: Experiment =
+        marllink_config::read(&name, &text, &experiment::schema()).map_err(problems)?;
+    let (hosts, balancers) = (experiment.fleet.hosts, experiment.fleet.balancers);
+    for (at, fault) in experiment.faults.iter().enumerate() {
+        let (host, balancer) = match fault.what {
+            What::KillHost { host, .. } | What::StallHost { host, .. } | What::Drain { host, .. } => {
+                (host, 0)
+            }
+            What::Split { host, balancer, .. } => (host, balancer),
+            What::KillBalancer { balancer, .. }
+            | What::StallBalancer { balancer, .. }
+            | What::UpgradeBalancer { balancer } => (0, balancer),
+        };
+        if host >= hosts || balancer >= balancers {
+            return Err(format!(
+                "{name}: /faults/{at}/what: there is no such party; wanted: a form host under {hosts}, a balancer under {balancers}"
+            ));
+        }
+    }
+    Ok(experiment)
+}
+
+/// Runs an experiment; true if it is sound.
+fn run(experiment: &Experiment, plant: Option<Plant>, out: &Path, quiet: bool) -> Result<bool, String> {
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    let folder = balancers::folder(out, &experiment.name).map_err(|e| format!("{}: {e}", out.display()))?;
+    let progress: fn(&Sample, &str) = if quiet { |_, _| {} } else { show };
+    if !quiet {
+        println!("{:>6} {:>8} {:>12} {:>8}  last fault", "second", "working", "connections", "held");
+    }
+    let options = run::Options { program, folder: folder.clone(), plant, progress };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let results = tokio::task::LocalSet::new()
+        .block_on(&runtime, run::run(experiment, &options))
+        .map_err(|e| e.to_string())?;
+    results.write(&folder).map_err(|e| e.to_string())?;
+    if !quiet {
+        for (name, value) in &results.figures {
+            println!("{name:>16} {value:.2}");
+        }
+        results.verdict.findings.iter().for_each(|finding| println!("  {finding}"));
+    }
+    let against = results.against();
+    let shown = folder.strip_prefix(std::env::current_dir().unwrap_or_default()).unwrap_or(&folder);
+    println!("results in {}", shown.display());
+    match against.is_empty() {
+        true => println!("{}: kept: no rule was broken and every bound holds", experiment.name),
+        false => println!("{}: BROKEN: {}", experiment.name, against.join("; ")),
+    }
+    Ok(against.is_empty())
+}
+
+fn show(sample: &Sample, fault: &str) {
+    let Sample { second, working, connections, held } = sample;
+    println!("{second:>6} {working:>8} {connections:>12} {held:>8}  {fault}");
+}
+
+/// A form host is killed every 8 s, and one balancer in between.
+fn demo(seconds: u32, drafters: usize) -> Experiment {
+    let kill = |n: u32| Fault {
+        at_s: f64::from(4 + 8 * n),
+        what: What::KillHost { host: n as usize % 6, for_s: 3.0 },
+    };
+    let mut faults: Vec<_> = (0..seconds / 8).map(kill).collect();
+    faults.push(Fault { at_s: 8.0, what: What::KillBalancer { balancer: 1, for_s: 1.0 } });
+    Experiment {
+        name: "demo".into(),
+        seconds,
+        seed: 1,
+        fleet: Fleet {
+            balancers: 2,
+            hosts: 6,
+            zones: 2,
+            capacity: 1_000,
+            clock_drift_percent: 0.0,
+            late_news_ms: 1_000,
+        },
+        load: Load {
+            drafters,
+            over_s: 2.0,
+            save_every_ms: 200.0,
+            fields: 12,
+            value_bytes: 24,
+            in_flight: 4,
+            thief_every_ms: 0.0,
+        },
+        sessions: Sessions { keepers: 3, lease_ms: 2_000, token_s: 120, rotate_keys_at_s: None },
+        faults,
+        verdict: Vec::new(),
+    }
+}
--- a/node/src/front/line.rs
+++ b/node/src/front/line.rs
@@ -201,9 +201,11 @@
             }
             true
         });
+        // Nothing of the balancer's own comes before the answer.
+        let begun = pipe.standing();
         let writing = async {
             if pipe.session.get() {
-                pump::empty_between(&pipe.down, &pipe.to_client, stream).await
+                pump::empty_between(&pipe.down, &pipe.to_client, stream, begun).await
             } else {
                 pump::empty(&pipe.down, stream).await
             }
--- a/node/src/host/server.rs
+++ b/node/src/host/server.rs
@@ -155,7 +155,7 @@
         let reading = pump::fill(stream, &pipe.down, arrived);
         let writing = async {
             if pipe.session.get() {
-                pump::empty_between(&pipe.up, &pipe.to_host, stream).await
+                pump::empty_between(&pipe.up, &pipe.to_host, stream, true).await
             } else {
                 pump::empty(&pipe.up, stream).await
             }
--- a/node/src/io/pump.rs
+++ b/node/src/io/pump.rs
@@ -64,9 +64,9 @@
 }
 
 /// Sends what the ring holds as [`empty`] does, and between two of its lines what is to come between them.
-/// Only whole lines may be committed to such a ring.
-pub async fn empty_between(ring: &Ring, between: &Between, stream: &TcpStream) -> bool {
-    let mut whole = true;
+/// Only whole lines may be committed to such a ring. Unless it has `begun`, its first line comes first.
+pub async fn empty_between(ring: &Ring, between: &Between, stream: &TcpStream, begun: bool) -> bool {
+    let mut whole = begun;
     loop {
         if whole {
             let lines = between.take();
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -17,3 +17,4 @@
 mod serve;
 
 pub use cli::main;
+pub use serve::{Options, serve};
