Bid again without a keeper that is gone, and give up a silent form host after a quarter lease

In the lab one session of 1,000 could not be resumed: with one keeper dead, one that promised and one that was outbid, the claim waited for the dead one until its time was over, each time anew. What is refused is acted on at once now; a unit test has the case. And a form host that takes no session held its client for 2.4 s: it must ask for a lease within a quarter of one.

--- a/node/src/exchange/holders.rs
+++ b/node/src/exchange/holders.rs
@@ -144,6 +144,11 @@
         self.exchange.session_of(self.id).is_some_and(|resume| resume.leased(self.id))
     }
 
+    /// A form host that takes a session asks for its lease within so long.
+    pub fn asks_within(&self) -> Millis {
+        self.exchange.session_of(self.id).map_or(f64::INFINITY, |resume| resume.asks_within())
+    }
+
     /// For how long the form host may hold the session yet.
     pub fn hold_ms(&self) -> Millis {
         self.exchange.session_of(self.id).map_or(0.0, |resume| resume.hold_ms(self.id))
--- a/node/src/exchange/resume.rs
+++ b/node/src/exchange/resume.rs
@@ -101,6 +101,11 @@
         Some(format!("{session}.{ballot}"))
     }
 
+    /// A form host that takes a session asks for its lease within so long.
+    pub fn asks_within(&self) -> f64 {
+        self.machine.borrow().asks_within()
+    }
+
     /// For how long the form host of a request's attempt may hold its session yet.
     pub fn hold_ms(&self, request: RequestId) -> f64 {
         self.machine.borrow().hold_until(request) - self.clock.now()
@@ -218,6 +223,17 @@
         Note::Lost { session, epoch } => {
             tracing::info!(event = "session_lost", session = %session, epoch);
         }
+        Note::Declined { session, configuration, promised, waiting, none, elsewhere } => {
+            tracing::info!(
+                event = "claim_declined",
+                session = %session,
+                configuration,
+                promised,
+                waiting,
+                none,
+                elsewhere
+            );
+        }
         Note::Lapsed { server } => tracing::warn!(event = "keeper_lapsed", host = server.0),
     }
 }
--- a/node/src/host/server.rs
+++ b/node/src/host/server.rs
@@ -114,7 +114,20 @@
         let down = &pipe.down;
         let left = until - self.clock.now();
         let answer = if pipe.session.get() {
-            self.clock.within(left, session_answer(stream, pipe, errand)).await
+            let silent = async {
+                self.clock.sleep(errand.asks_within()).await;
+                if errand.asks() || errand.leased() {
+                    std::future::pending::<()>().await;
+                }
+            };
+            let answer = async {
+                tokio::select! {
+                    biased;
+                    line = session_answer(stream, pipe, errand) => Some(line),
+                    () = silent => None,
+                }
+            };
+            self.clock.within(left, answer).await.flatten()
         } else {
             self.clock.within(left, first_line(stream, down)).await
         };
--- a/sessions/src/claim.rs
+++ b/sessions/src/claim.rs
@@ -111,7 +111,10 @@
             return self.decide(&promised);
         }
         let waiting = self.answers.iter().filter(|a| matches!(a, Answer::Waiting)).count();
-        if promised.len() + waiting >= majority {
+        // A keeper that is gone never answers: what others refuse has to be mended without it.
+        let refused = |a: &Answer| matches!(a, Answer::Outbid(_) | Answer::Leased { .. });
+        let may_come = promised.len() + waiting >= majority;
+        if may_come && !self.answers.iter().any(refused) {
             return Step::Wait;
         }
         let outbid = self.answers.iter().filter_map(|a| match a {
@@ -142,6 +145,7 @@
         left.sort_by(f64::total_cmp);
         match left.get(missing - 1) {
             Some(left) => Step::Later(*left),
+            None if may_come => Step::Wait,
             None => Step::Lost,
         }
     }
@@ -236,6 +240,11 @@
         let (a, b) = (leased(300.0, None, ballot(7, 0)), leased(200.0, None, ballot(7, 0)));
         assert_eq!(claim([good(), a.clone(), b.clone()]).step(), Step::Later(200.0));
         assert_eq!(claim([a, b, Answer::None]).step(), Step::Later(300.0));
+        // One is gone and does not answer: the other's word must not be waited out.
+        let outbid = Answer::Outbid(ballot(8, 0));
+        assert_eq!(claim([good(), outbid, Answer::Waiting]).step(), Step::Bid(8));
+        let leased = leased(200.0, None, ballot(7, 0));
+        assert_eq!(claim([good(), leased, Answer::Waiting]).step(), Step::Later(200.0));
     }
 
     #[test]
--- a/sessions/src/machine.rs
+++ b/sessions/src/machine.rs
@@ -146,6 +146,13 @@
         self.of(request).is_some_and(|s| s.leased)
     }
 
+    /// A form host that takes a session asks for its lease at once: one that has not after so long, in
+    /// ms, is silent, and waiting for it as long as for an answer would only cost the client its time.
+    #[must_use]
+    pub fn asks_within(&self) -> Millis {
+        self.settings.lease_ms / 4.0
+    }
+
     /// Under which ballot the form host of this request's attempt is to hold its session.
     #[must_use]
     pub fn held_as(&self, request: RequestId) -> Option<(SessionId, marllink_keep::Ballot)> {
--- a/sessions/src/machine/claiming.rs
+++ b/sessions/src/machine/claiming.rs
@@ -4,7 +4,7 @@
 use crate::claim::{Answer, Claim, Step};
 use crate::session::{Session, State};
 use crate::token::Token;
-use crate::vocabulary::{Ask, Command, Rejection};
+use crate::vocabulary::{Ask, Command, Note, Rejection};
 use marllink::{Millis, RequestId, ServerId};
 use marllink_keep::{
     Ballot, Call, Claim as ClaimCall, Configuration, LetGo, Point, Pointer, Promised, Refused, SessionId,
@@ -220,10 +220,11 @@
             }
             Step::Later(left) => {
                 let at = now + left + AFTER_LEASE_MS;
-                if at > claim.until {
+                if at <= claim.until {
+                    claim.again_at = at;
+                } else if !claim.answers.iter().any(|a| matches!(a, Answer::Waiting)) {
                     return self.decline(id, left, out);
                 }
-                claim.again_at = at;
             }
             Step::Lost => return self.reject(id, Rejection::Lost, out),
         }
@@ -367,6 +368,17 @@
     }
 
     fn decline(&mut self, id: SessionId, about_ms: Millis, out: &mut Vec<Command>) {
+        if let Some(State::Claiming(claim)) = self.sessions.get(&id).map(|s| &s.state) {
+            let count = |of: fn(&Answer) -> bool| claim.answers.iter().filter(|a| of(a)).count();
+            out.push(Command::Note(Note::Declined {
+                session: id,
+                configuration: claim.keepers.number,
+                promised: count(|a| matches!(a, Answer::Promised(_))),
+                waiting: count(|a| matches!(a, Answer::Waiting)),
+                none: count(|a| matches!(a, Answer::None)),
+                elsewhere: count(|a| matches!(a, Answer::Outbid(_) | Answer::Leased { .. })),
+            }));
+        }
         if let Some(request) = self.abandon(id, out) {
             self.refuse(request, about_ms.max(CONFLICT_MS / 4.0), out);
         }
--- a/sessions/src/vocabulary.rs
+++ b/sessions/src/vocabulary.rs
@@ -301,6 +301,21 @@
         /// The claim that was outbid.
         epoch: u64,
     },
+    /// A claim came to nothing in its time: so many of its keepers had answered in each way.
+    Declined {
+        /// On which session.
+        session: SessionId,
+        /// The configuration that was asked.
+        configuration: u32,
+        /// They promise.
+        promised: usize,
+        /// They have not answered.
+        waiting: usize,
+        /// They have no record.
+        none: usize,
+        /// Somebody else has it.
+        elsewhere: usize,
+    },
     /// A keeper's lease ran out.
     Lapsed {
         /// Whose.
