Drop state of the emulator and the lab that nothing read

Reading the whole change again: the drafter kept when it was cut off, which the lab works out from what was written down; the start of a run was passed on and not used.

--- a/emulator/src/model/drafter.rs
+++ b/emulator/src/model/drafter.rs
@@ -74,8 +74,6 @@
     /// Those of them that were sent on this connection.
     sent: usize,
     save_at: Millis,
-    /// Since when it has had no place.
-    cut_off_at: Option<Millis>,
     /// No more saves: it only sees what it has through.
     finishing: bool,
     /// When it is woken next.
@@ -99,7 +97,6 @@
             waiting: VecDeque::new(),
             sent: 0,
             save_at: 0.0,
-            cut_off_at: None,
             finishing: false,
             armed: None,
         }
@@ -203,7 +200,6 @@
             (Place::Asking, "UP") => {
                 self.answered(word, wishes);
                 self.place = Place::Working;
-                self.cut_off_at = None;
                 self.save_at = now;
                 self.work(now, wishes);
             }
@@ -290,7 +286,6 @@
     /// Comes back after some time, or after what it was told.
     fn leave(&mut self, now: Millis, told: Millis, wishes: &mut Vec<Wish>) {
         let own = self.rng.random_range(self.habits.back_from_ms..=self.habits.back_to_ms);
-        self.cut_off_at = self.cut_off_at.or(Some(now));
         self.place = Place::Away(now + if told > 0.0 { told } else { own });
         wishes.push(Wish::Close);
         if let Place::Away(at) = self.place {
--- a/lab/src/results.rs
+++ b/lab/src/results.rs
@@ -41,7 +41,6 @@
     #[must_use]
     pub fn new(
         experiment: &Experiment,
-        began: f64,
         entries: Vec<Entry>,
         samples: Vec<Sample>,
         unsettled: usize,
@@ -50,7 +49,7 @@
     ) -> Self {
         let verdict = judge(&entries, cut);
         let (back, cut_off) = resume_times(&entries);
-        let service = service(experiment, began, &samples);
+        let service = service(experiment, &samples);
         let at = |h: &Histogram<u64>, q: f64| h.value_at_quantile(q) as f64;
         let mut figures = vec![
             ("sessions", verdict.sessions as f64),
@@ -200,7 +199,7 @@
 }
 
 /// Drafters at work in the last fifth of the run, over those before the first fault.
-fn service(experiment: &Experiment, _began: f64, samples: &[Sample]) -> f64 {
+fn service(experiment: &Experiment, samples: &[Sample]) -> f64 {
     let first = experiment.faults.iter().map(|f| f.at_s).fold(f64::from(experiment.seconds), f64::min);
     let mean = |wanted: &dyn Fn(&Sample) -> bool| {
         let all: Vec<_> = samples.iter().filter(|s| wanted(s)).map(|s| s.working as f64).collect();
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -121,7 +121,7 @@
     errors.extend(balancers.panics());
     let entries = ledger.take();
     let cut = |b: usize, from: f64, to: f64| balancers.was_cut(b, from, to);
-    Ok(Results::new(experiment, began, entries, samples, clients.unsettled(), errors, cut))
+    Ok(Results::new(experiment, entries, samples, clients.unsettled(), errors, cut))
 }
 
 impl Running {
--- a/sessions/tests/world/mod.rs
+++ b/sessions/tests/world/mod.rs
@@ -9,7 +9,6 @@
 use marllink_sessions::{Ask, Command, Event, KeyRing, Listed, Sessions, Settings};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 pub const SECRET: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
@@ -98,8 +97,6 @@
     conns: HashMap<u64, usize>,
 }
 
-type Due = (Reverse<(u64, u64)>, Place, u64);
-
 pub struct World {
     pub now: f64,
     seq: u64,
