--- a/knowledge/src/lib.rs
+++ b/knowledge/src/lib.rs
@@ -24,8 +24,10 @@
 //! ```
 
 mod carrying;
+mod silence;
 
 pub use carrying::{Carrying, Held};
+pub use silence::{Sign, Silence, Verdict};
 
 use rustc_hash::FxHashMap;
 use std::hash::Hash;
@@ -104,6 +106,8 @@
     Paid,
     /// These hosts matter though no pick is due: those that hold own connections, say.
     Review(Vec<H>),
+    /// Something speaks against this host: it is asked if that tells more than is known, without being paid.
+    Doubted(H),
     /// A host is gone: nothing is known of it, and nobody waits for it any longer than until the next
     /// answer or [`Event::Due`]. Gives no command.
     Gone(H),
@@ -172,6 +176,9 @@
             }
             Event::Paid => self.paid = (self.paid + self.settings.paid).min(self.settings.most_paid),
             Event::Review(hosts) => self.review(now, hosts, commands),
+            Event::Doubted(host) => {
+                self.ask(now, host, commands);
+            }
             Event::Withdrawn(pick) => self.waiting.retain(|waiting| waiting.pick != pick),
             Event::Gone(host) => {
                 if self.hosts.remove(&host).is_some_and(|h| h.asked_at.is_some()) {
--- a/node/src/exchange/holders.rs
+++ b/node/src/exchange/holders.rs
@@ -4,7 +4,7 @@
 use crate::host::told::{self, Meaning, Seen};
 use crate::io::clock::Millis;
 use crate::protocol::report::{self, Report};
-use marllink::{AttemptNo, Event, Outcome, RequestId, ServerId};
+use marllink::{AttemptNo, Event, Outcome, RequestId, ServerId, Sign};
 use marllink_sessions::Event as SessionEvent;
 use std::rc::{Rc, Weak};
 
@@ -188,6 +188,11 @@
         }
     }
 
+    /// No connection came up in the time for that, and none was refused.
+    pub fn no_connection(&self) {
+        self.exchange.core.feed(Event::Silent { server: self.server, sign: Sign::NoConnection });
+    }
+
     /// How the attempt ended. To be called once its socket is closed.
     pub fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -224,6 +229,15 @@
     }
 }
 
+impl ProbeResult {
+    /// No connection came up in the time for that, and none was refused.
+    pub fn no_connection(&self) {
+        if let Some(exchange) = self.exchange.upgrade() {
+            exchange.core.feed(Event::Silent { server: self.server, sign: Sign::NoConnection });
+        }
+    }
+}
+
 impl Drop for ProbeResult {
     fn drop(&mut self) {
         if let Some(exchange) = self.exchange.upgrade() {
--- a/node/src/exchange/mod.rs
+++ b/node/src/exchange/mod.rs
@@ -22,14 +22,14 @@
 use crate::protocol::line::{self, Opening};
 use crate::protocol::session::{self, FromClient};
 pub use holders::{Errand, ProbeResult, Ticket};
-use marllink::{AttemptNo, ClassId, Event, NewRequest, Outcome, RequestId, ServerId, TenantId};
+use marllink::{AttemptNo, ClassId, Event, NewRequest, Outcome, RequestId, ServerId, Sign, TenantId};
 use marllink_sessions::{Ask, Event as SessionEvent};
 pub use orders::{Adopted, Attempt, Order, Probe};
 use pipe::Handoff;
 pub use pipe::{Passed, Pipe, Socket};
 use resume::Resume;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::{Rc, Weak};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
@@ -42,7 +42,9 @@
 /// end within 7 s of its last sign of life, and clients send a line every 2 s.
 const SILENT_MS: Millis = 4_500.0;
 /// How often silent connections are looked for.
-const SWEEP_MS: Millis = 250.0;
+const SWEEP_MS: Millis = 100.0;
+/// A form host that owes an answer for so many times the strictest aim may be lost: the decisions are told.
+const DOUBT_AIMS: f64 = 5.0;
 
 enum Phase {
     /// The client waits for its final answer.
@@ -262,6 +264,7 @@
             self.clock.sleep(SWEEP_MS).await;
             let now = self.clock.now();
             self.end_silent(now);
+            self.tell_unanswered(now);
             if now - told_at >= 1_000.0 {
                 told_at = now;
                 self.tell_delays(now);
@@ -283,6 +286,19 @@
         }
     }
 
+    fn tell_unanswered(&self, now: Millis) {
+        let bound = DOUBT_AIMS * strictest_aim(&self.tuning);
+        let owed =
+            |e: &Entry| matches!(e.phase, Phase::Standing) && e.pipe.waiting.borrow().silent_for(now) > bound;
+        let entries = self.entries.borrow();
+        let owing = entries.values().filter(|e| owed(e)).filter_map(|e| e.out.as_ref().map(|out| out.server));
+        let owing: BTreeSet<_> = owing.collect();
+        drop(entries);
+        for server in owing {
+            self.core.feed(Event::Silent { server, sign: Sign::Unanswered });
+        }
+    }
+
     fn tell_delays(&self, now: Millis) {
         let notes = {
             let entries = self.entries.borrow();
--- a/node/src/host/server.rs
+++ b/node/src/host/server.rs
@@ -23,6 +23,15 @@
 /// What a form host still says that nobody waits for is dropped in pieces of this size.
 const DROPPED: usize = 16 * 1024;
 
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoWay {
+    /// It was refused, or could not be tried for the usual time.
+    Refused,
+    /// Nothing came back in the time for that.
+    Silent,
+}
+
 /// The server side.
 #[derive(Clone)]
 pub struct Servers {
@@ -62,7 +71,12 @@
         let stream = tokio::select! {
             biased;
             outcome = errand.called_off() => Err(outcome),
-            stream = connecting => stream.ok_or(Outcome::ConnectFailed),
+            stream = connecting => stream.map_err(|no_way| {
+                if no_way == NoWay::Silent {
+                    errand.no_connection();
+                }
+                Outcome::ConnectFailed
+            }),
         };
         match stream {
             Ok(stream) => {
@@ -88,12 +102,18 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr, wait_ms: Millis) -> Option<TcpStream> {
-        let limit = self.tuning.now().decisions.limits.connect_timeout_ms.min(wait_ms);
-        let stream = self.clock.within(limit, TcpStream::connect(address)).await?.ok()?;
+    async fn connect(&self, address: SocketAddr, wait_ms: Millis) -> Result<TcpStream, NoWay> {
+        let usual = self.tuning.now().decisions.limits.connect_timeout_ms;
+        let stream = match self.clock.within(usual.min(wait_ms), TcpStream::connect(address)).await {
+            Some(Ok(stream)) => stream,
+            Some(Err(_)) => return Err(NoWay::Refused),
+            // One that was not given the usual time tells nothing.
+            None if wait_ms < usual => return Err(NoWay::Refused),
+            None => return Err(NoWay::Silent),
+        };
         // Lines are short and must not wait for others.
         let _ = stream.set_nodelay(true);
-        Some(stream)
+        Ok(stream)
     }
 
     /// Sends the first line and waits for the answer.
@@ -211,7 +231,14 @@
         let reports = !self.tuning.now().names.report_fields.is_empty();
         let question: &[u8] = if reports { b"STATS\r\n" } else { b"PING\r\n" };
         let asking = async {
-            let stream = self.connect(address, PROBE_MS).await?;
+            let stream = match self.connect(address, PROBE_MS).await {
+                Ok(stream) => stream,
+                Err(NoWay::Silent) => {
+                    result.no_connection();
+                    return None;
+                }
+                Err(NoWay::Refused) => return None,
+            };
             pump::write_all(&stream, question).await.ok()?;
             let line = first_line(&stream, &Ring::new()).await?;
             match line::reply(&line) {
--- a/pacing/src/lib.rs
+++ b/pacing/src/lib.rs
@@ -5,6 +5,7 @@
 //! one would leave the host empty, while one that starts with a whole one would let three hundred through
 //! at once. What is due here is therefore spent by chance. No I/O, no clock and no randomness of its own.
 
+pub mod calls;
 mod shortage;
 
 pub use shortage::Shortage;
@@ -34,6 +35,26 @@
     found.or_else(|| shares.iter().rposition(|share| *share > 0.0))
 }
 
+/// Which of these loads, in the order in which they should go, make up about this share of their sum.
+/// `uniform` gives a random number in 0..1.
+#[must_use]
+pub fn relief(loads: &[f64], share: f64, uniform: impl FnOnce() -> f64) -> Vec<usize> {
+    let mut excess = share * loads.iter().sum::<f64>();
+    let mut chosen = Vec::new();
+    for (at, load) in loads.iter().enumerate() {
+        // One that weighs far more than what is too much would only overload another host.
+        if *load > 0.0 && *load <= 1.5 * excess {
+            excess -= load;
+            chosen.push(at);
+        }
+    }
+    // Where all do, as where there is but one, one goes by chance: nobody else may relieve the host.
+    if let Some(at) = loads.iter().rposition(|load| *load > 0.0).filter(|_| chosen.is_empty()) {
+        chosen.extend((uniform() < excess / loads[at]).then_some(at));
+    }
+    chosen
+}
+
 /// How often something has happened lately, for each ms, fading.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rate {
@@ -150,6 +171,15 @@
         assert_eq!(by_share(&[0.0, 2.0, 0.0], 1.0), Some(1));
     }
 
+    #[test]
+    fn what_goes_makes_up_the_share_or_one_goes_by_chance() {
+        assert_eq!(relief(&[50.0, 20.0, 20.0, 10.0], 0.4, || 0.5), [0]);
+        assert_eq!(relief(&[90.0, 20.0, 20.0, 0.0], 0.3, || 0.5), [1, 2]);
+        // A single one is too heavy for a tenth, and goes in one of ten cases.
+        assert_eq!(relief(&[30.0], 0.1, || 0.09), [0]);
+        assert!(relief(&[30.0], 0.1, || 0.11).is_empty() && relief(&[0.0], 0.9, || 0.0).is_empty());
+    }
+
     #[test]
     fn a_rate_fades() {
         let mut rate = Rate::new(1_000.0, 0.0);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,8 +8,8 @@
 
 use crate::interface::*;
 use crate::variant::{Plant, Variant};
-use marllink_knowledge::{Command, Event as Asked, Held, Settings as Asking};
-use marllink_pacing::{Budget, Pace, Rate, Shortage, by_share, whole};
+use marllink_knowledge::{Command, Event as Asked, Held, Settings as Asking, Silence, Verdict};
+use marllink_pacing::{Budget, Pace, Rate, Shortage, by_share, calls, relief, whole};
 use marllink_retries::Limiter;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rand_xoshiro::rand_core::{Rng, SeedableRng};
@@ -85,10 +85,6 @@
 /// and the next report tells so before the time to fall over has passed.
 const COLD_IDLE_MARGIN: f64 = 0.8;
 const COLD_IDLE: f64 = 0.35;
-/// First wait in ms before the list is asked for again; doubled with each failure, spread by half.
-const ASK_AGAIN_MS: Millis = 500.0;
-/// So many ms for each node to spread first calls over: one list service answers them all.
-const ASK_SPREAD_MS: Millis = 20.0;
 /// A server that drains is left evenly over so many ms, by chance where no whole connection is due:
 /// nodes that hold one each would else all clear it in the same moment.
 const LEAVE_MS: Millis = 4_000.0;
@@ -225,6 +221,7 @@
     fleet: Fleet,
     /// What servers have said of their load, and which picks wait for that.
     reports: marllink_knowledge::Knowledge<ServerId, Told>,
+    silence: Silence<ServerId>,
     retries: Limiter,
     burst: Rate,
     variant: Variant,
@@ -253,6 +250,7 @@
         Self {
             slow_aim: slow_aim(&settings),
             reports: marllink_knowledge::Knowledge::new(asking(&settings)),
+            silence: Silence::default(),
             retries: Limiter::new(variant.retries.clone(), settings.nodes, now),
             burst: Rate::new(BURST_TAU_MS, now),
             variant,
@@ -322,6 +320,7 @@
                 self.on_ended(request, attempt, outcome, closed, out);
             }
             Event::MessageDelay { request, delay_ms } => self.on_delay(request, delay_ms, out),
+            Event::Silent { server, sign } => self.on_silent(server, sign, out),
             Event::Timer(TICK) => self.on_tick(out),
             Event::Timer(ASK) => out.push(Action::WatchList),
             Event::ClientGone(request) => self.on_client_gone(request, out),
@@ -340,20 +339,16 @@
     fn on_list(&mut self, kind: ListKind, entries: &[ServerEntry], out: &mut Vec<Action>) {
         match kind {
             ListKind::Failed => {
-                // All nodes lose the list at the same moment and one small service answers them:
-                // the next calls back off and spread, yet come well within the time to ask.
-                let wait = ASK_AGAIN_MS * f64::from(1u32 << self.asks_failed.min(10));
-                let wait = wait.min(self.settings.rules.ask_within_ms / 2.0);
+                let delay_ms =
+                    calls::again(self.asks_failed, self.settings.rules.ask_within_ms, self.uniform());
                 self.asks_failed += 1;
-                let delay_ms = wait * (0.5 + self.uniform());
                 out.push(Action::SetTimer { delay_ms, token: ASK });
                 return;
             }
             ListKind::Cached => {
                 if self.settings.discovery == Discovery::Ask {
-                    let spread = ASK_SPREAD_MS * f64::from(self.settings.nodes);
-                    let spread = spread.min(self.settings.rules.ask_within_ms / 4.0);
-                    let delay_ms = spread * self.uniform();
+                    let (nodes, within) = (self.settings.nodes, self.settings.rules.ask_within_ms);
+                    let delay_ms = calls::first(nodes, within, self.uniform());
                     out.push(Action::SetTimer { delay_ms, token: ASK });
                 }
             }
@@ -456,6 +451,7 @@
             self.index.remove(&id);
             self.free.push(slot);
             self.reports.handle(self.now, Asked::Gone(id), &mut Vec::new());
+            self.silence.heard(id);
         }
     }
 
@@ -693,6 +689,24 @@
         self.eject(slot, for_ms.min(MAX_EJECT_MS) * spread, most);
     }
 
+    /// A server that has fallen silent serves nobody: its clients find another sooner than it comes back.
+    fn on_silent(&mut self, id: ServerId, sign: Sign, out: &mut Vec<Action>) {
+        let Some(&slot) = self.index.get(&id) else { return };
+        match self.silence.note(self.now, id, sign) {
+            Verdict::Silent => {
+                let s = &mut self.servers[slot];
+                let (zone, own) = (s.zone, s.connections.clone());
+                self.move_these(slot, own, out);
+                self.on_failure(slot, self.ready.saturating_sub(1));
+                let near = self.servers.iter().filter(|s| s.zone == zone && !s.connections.is_empty());
+                let near: Vec<_> = near.map(|s| s.id).collect();
+                near.into_iter().for_each(|id| self.on_silent(id, Sign::Neighbour, out));
+            }
+            Verdict::Doubtful if self.may_ask() => self.ask(Asked::Doubted(id), out),
+            Verdict::Doubtful | Verdict::Nothing => {}
+        }
+    }
+
     /// A server on which messages are slow has more than it can do, be it slow, pausing or just
     /// unlucky: new connections would only add to it, and if it lasts some must go.
     fn on_delay(&mut self, request: RequestId, delay_ms: Millis, out: &mut Vec<Action>) {
@@ -767,6 +781,7 @@
         let held = held.and_then(|at| report.get(at)).map_or(0.0, |x| f64::from(*x));
         let (own, own_load) = server.loads[REPORT_AGE - 1];
         let told = load.map(|load| Told { load, own: own_load });
+        ok.then(|| self.silence.heard(id));
         if let Some(load) = load {
             self.fleet.carrying.learn(&Held { weight: server.weight, load, held, own, own_load });
         }
@@ -816,23 +831,9 @@
     /// Relief by load: moves own connections that make up this share of what they load the server with.
     fn relieve(&mut self, slot: usize, share: f64, out: &mut Vec<Action>) {
         let own = self.own_by_weight(slot);
-        let load_of = |id: &RequestId| self.requests.get(id).map_or(0.0, |p| p.load);
-        let mut excess = share * own.iter().map(load_of).sum::<f64>();
-        let mut chosen = Vec::new();
-        for id in &own {
-            // One that weighs far more than what is too much would only overload another server.
-            let load = load_of(id);
-            if load > 0.0 && load <= 1.5 * excess {
-                excess -= load;
-                chosen.push(*id);
-            }
-        }
-        // Where all do, as where there is but one, one goes by chance: nobody else may relieve the server.
-        if let Some(id) = own.iter().rfind(|id| load_of(id) > 0.0).filter(|_| chosen.is_empty()) {
-            let chance = excess / load_of(id);
-            chosen.extend((self.uniform() < chance).then_some(*id));
-        }
-        self.move_these(slot, chosen, out);
+        let loads: Vec<_> = own.iter().map(|id| self.requests.get(id).map_or(0.0, |p| p.load)).collect();
+        let chosen = relief(&loads, share, || self.uniform());
+        self.move_these(slot, chosen.into_iter().map(|at| own[at]).collect(), out);
     }
 
     /// Relief: moves some of the own connections away from a server that cannot carry them,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,6 +3,7 @@
 //! Times are `f64` milliseconds on one monotonic clock of the embedding node; its origin is free.
 
 use marllink_knowledge::Carrying;
+pub use marllink_knowledge::Sign;
 use marllink_pacing::{Budget, Rate, Shortage};
 use serde::{Deserialize, Serialize};
 
@@ -377,6 +378,13 @@
         /// The report, ordered as [`Settings::report_fields`]; empty if there was none.
         report: Vec<f32>,
     },
+    /// A server looks as if it had fallen silent. To come as often as it is seen.
+    Silent {
+        /// Which.
+        server: ServerId,
+        /// What speaks for it.
+        sign: Sign,
+    },
     /// The client has left; nothing is owed.
     ClientGone(RequestId),
     /// The operators take a server out, or put it back.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -707,3 +707,54 @@
     let (idle, loaded) = (sent_to_cold(0.1), sent_to_cold(0.5));
     assert!(idle > loaded && idle <= 2 * loaded, "{idle} and {loaded}");
 }
+
+/// Two zones of two servers that tell their load, and a node with connections on all of them.
+fn zones_in_use() -> (Node, Vec<(RequestId, ServerId)>) {
+    let mut settings = settings();
+    (settings.zones, settings.limits.probe) = (2, true);
+    settings.report_fields = vec![ReportField::Utilization, ReportField::InFlight];
+    let list = (0..4).map(|id| ServerEntry { zone: ZoneId((id / 2) as u8), ..entry(id, 1.0) }).collect();
+    let mut node = Node::new(settings, list);
+    node.told = (0..4).map(|id| (ServerId(id), 0.3)).collect();
+    let placed = (0..24).map(|_| node.place()).collect();
+    (node, placed)
+}
+
+fn moved(actions: &[Action]) -> Vec<RequestId> {
+    let id = |a: &Action| if let Action::Move(id) = a { Some(*id) } else { None };
+    actions.iter().filter_map(id).collect()
+}
+
+#[test]
+fn all_connections_leave_a_zone_that_fell_silent_once_one_line_had_no_answer() {
+    // Half of the connections on a lost zone stood for over two seconds, moved one by one by chance.
+    let (mut node, placed) = zones_in_use();
+    node.now += 2_000.0;
+    node.told.clear();
+    let actions = node.on(Event::Silent { server: ServerId(2), sign: Sign::Unanswered });
+    assert!(actions.contains(&Action::Probe(ServerId(2))) && moved(&actions).is_empty(), "{actions:?}");
+    node.now += 200.0;
+    let actions = node.on(Event::Silent { server: ServerId(2), sign: Sign::NoConnection });
+    let there = |server: u64| placed.iter().filter(move |p| p.1 == ServerId(server)).map(|p| p.0);
+    let (mut gone, mut held) = (moved(&actions), there(2).collect::<Vec<_>>());
+    gone.sort();
+    held.sort();
+    assert!(gone == held && !gone.is_empty(), "{gone:?} {held:?}");
+    // The one beside it is asked although none of its lines waits; servers of the other zone are not.
+    assert!(actions.contains(&Action::Probe(ServerId(3))), "{actions:?}");
+    assert!(!actions.iter().any(|a| matches!(a, Action::Probe(ServerId(0 | 1)))), "{actions:?}");
+    node.now += 200.0;
+    let actions = node.on(Event::Silent { server: ServerId(3), sign: Sign::NoConnection });
+    assert_eq!(moved(&actions).len(), there(3).count());
+}
+
+#[test]
+fn a_server_that_answers_late_is_asked_and_keeps_its_connections() {
+    let (mut node, _) = zones_in_use();
+    node.now += 2_000.0;
+    let actions = node.on(Event::Silent { server: ServerId(2), sign: Sign::Unanswered });
+    assert!(actions.contains(&Action::Probe(ServerId(2))), "{actions:?}");
+    // It has answered that; a first packet that is lost later says nothing.
+    node.now += 200.0;
+    assert!(moved(&node.on(Event::Silent { server: ServerId(2), sign: Sign::NoConnection })).is_empty());
+}
