--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 use crate::variant::{Plant, Variant};
 use marllink_knowledge::{Command, Event as Asked, Held, Settings as Asking, Silence, Verdict};
-use marllink_pacing::{Budget, Pace, Rate, Shortage, by_share, calls, relief, whole};
+use marllink_pacing::{Budget, Pace, Rate, Shortage, by_share, calls, coming, relief, whole};
 use marllink_retries::Limiter;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rand_xoshiro::rand_core::{Rng, SeedableRng};
@@ -579,7 +579,7 @@
         // A few draws seldom meet the own zone where there are many: as many again for each other zone.
         let prefers = self.settings.prices.cross_zone > 0.0;
         let draws = MARGIN * self.draws * if prefers { usize::from(self.settings.zones.max(1)) } else { 1 };
-        let (mut seen, mut drawn) = (Vec::new(), Vec::<(f64, usize)>::new());
+        let (mut seen, mut drawn, mut least) = (Vec::new(), Vec::<(f64, usize)>::new(), f64::INFINITY);
         for round in 0..ROUNDS {
             for _ in 0..draws {
                 let Some(slot) = self.draw() else { return Vec::new() };
@@ -588,35 +588,39 @@
                     continue;
                 }
                 seen.push(slot);
-                if self.may_run_on(pending, slot) && !self.full(slot) && self.cold_allows(slot) {
-                    let credit = if prefers { self.zone_credit(slot) } else { 0.0 };
+                let count = self.load(slot) - if prefers { self.zone_credit(slot) } else { 0.0 };
+                // What is known of it is looked at only where that may still matter.
+                let fits = count <= least && self.may_run_on(pending, slot);
+                if fits && !self.full(slot) && self.cold_allows(slot) {
                     let mute = self.reports.mute(self.now, self.servers[slot].id);
-                    drawn.push((self.load(slot) + if mute { MUTE } else { -credit }, slot));
+                    let count = if mute { count + MUTE } else { count };
+                    least = least.min(count);
+                    drawn.push((count, slot));
                 }
             }
             if !drawn.is_empty() {
                 break;
             }
         }
-        let least = drawn.iter().map(|d| d.0).fold(f64::INFINITY, f64::min);
         drawn.retain(|d| d.0 == least);
         let weights: Vec<_> = drawn.iter().map(|d| self.servers[d.1].weight).collect();
         // One that is chosen twice stays so: it is asked once, and has two chances.
-        let chosen = (0..ASKED).filter_map(|_| by_share(&weights, self.uniform()));
-        chosen.map(|at| drawn[at].1).collect()
+        (0..ASKED).filter_map(|_| by_share(&weights, self.uniform())).map(|at| drawn[at].1).collect()
     }
 
     /// The pick among them: by chance in proportion to the square of the room that they have. The one with
-    /// most room would be the same for all nodes, as reports are a second old, and be overrun.
+    /// most room, and in a burst those that look idle yet, would be the same for all nodes, and be overrun.
     fn pick(&mut self, pending: &Pending) -> Option<usize> {
+        let more = (self.burst.at(self.now) - self.fleet.rate.at(self.now)).max(0.0);
+        let coming = coming(more, self.settings.nodes, self.fleet.carrying.connections());
         let room = |slot: &usize| {
             let (slot, id) = (*slot, self.servers[*slot].id);
             let mute = pending.redrawn < MORE_DRAWS && self.reports.mute(self.now, id);
             if self.servers[slot].place == NOWHERE || mute || !self.may_run_on(pending, slot) {
                 return 0.0;
             }
-            let known = self.reports.known(self.now, id).is_some();
-            let load = if known { self.load_now(slot) } else { UNKNOWN_LOAD };
+            let known = self.reports.known(self.now, id).map(|_| self.load_now(slot) + coming);
+            let load = known.unwrap_or(UNKNOWN_LOAD);
             if load >= BUSY_LOAD { 0.0 } else { (OVER_LOAD - load).powi(2) }
         };
         let rooms: Vec<_> = pending.drawn.iter().map(room).collect();
@@ -694,8 +698,7 @@
         let Some(&slot) = self.index.get(&id) else { return };
         match self.silence.note(self.now, id, sign) {
             Verdict::Silent => {
-                let s = &mut self.servers[slot];
-                let (zone, own) = (s.zone, s.connections.clone());
+                let (zone, own) = (self.servers[slot].zone, self.servers[slot].connections.clone());
                 self.move_these(slot, own, out);
                 self.on_failure(slot, self.ready.saturating_sub(1));
                 let near = self.servers.iter().filter(|s| s.zone == zone && !s.connections.is_empty());
@@ -876,16 +879,12 @@
         }
         self.tick_at = self.now + TICK_MS;
         out.push(Action::SetTimer { delay_ms: TICK_MS, token: TICK });
-        let mut i = 0;
-        while i < self.ejected.len() {
-            let slot = self.ejected[i];
-            if self.servers[slot].track.out_until <= self.now {
-                self.ejected.swap_remove(i);
-                self.servers[slot].place = self.pickable.len();
-                self.pickable.push(slot);
-            } else {
-                i += 1;
-            }
+        let over = |slot: &usize| self.servers[*slot].track.out_until <= self.now;
+        let (back, out_yet): (Vec<_>, Vec<_>) = self.ejected.iter().partition(|slot| over(slot));
+        self.ejected = out_yet;
+        for slot in back {
+            self.servers[slot].place = self.pickable.len();
+            self.pickable.push(slot);
         }
         self.leave_draining(out);
         self.relieve_over(out);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -758,3 +758,44 @@
     node.now += 200.0;
     assert!(moved(&node.on(Event::Silent { server: ServerId(2), sign: Sign::NoConnection })).is_empty());
 }
+
+/// How many of three requests, so far apart, are sent on at once by one of a hundred nodes that has placed
+/// one each so many ms before, where all servers tell that they have half of what they can do.
+fn sent_at_once(apart: Millis, before: Millis) -> usize {
+    let mut settings = settings();
+    (settings.nodes, settings.limits.probe) = (100, true);
+    settings.report_fields = vec![ReportField::Utilization, ReportField::InFlight];
+    let mut all = 0;
+    for seed in 0..20 {
+        let mut node = Node::seeded(seed, settings.clone(), entries(12));
+        node.told = (1..=12).map(|id| (ServerId(id), 0.5)).collect();
+        for _ in 0..60 {
+            node.now += before;
+            let (request, actions) = node.ask(1_000.0);
+            if sent(&actions).is_some() {
+                node.on(Event::Established { request, attempt: AttemptNo(0), latency_ms: 1.0 });
+                node.end(request, 0, Outcome::Ok, true);
+            }
+        }
+        for _ in 0..3 {
+            node.now += apart;
+            all += usize::from(sent(&node.ask(1_000.0).1).is_some());
+        }
+    }
+    all
+}
+
+#[test]
+fn in_a_burst_not_all_are_sent_at_once_to_servers_that_told_room_a_second_ago() {
+    // After most nodes had been killed all clients came at once, and what had told room was filled to twice
+    // what it can do before the next report. What one node sends is little; a hundred send as much each.
+    let (calm, burst) = (sent_at_once(4_000.0, 4_000.0), sent_at_once(10.0, 4_000.0));
+    assert_eq!(calm, 60);
+    assert!(burst <= 40, "{burst} of 60 at once");
+}
+
+#[test]
+fn a_node_that_always_sees_ten_times_as_much_is_not_in_a_burst() {
+    let usual = sent_at_once(400.0, 400.0);
+    assert!(usual >= 54, "{usual} of 60 at once");
+}
