--- a/pacing/src/lib.rs
+++ b/pacing/src/lib.rs
@@ -55,19 +55,6 @@
     chosen
 }
 
-/// Hosts' reports of their load are about so old, in ms, when a pick goes by them.
-const REPORT_AGE_MS: Millis = 1_000.0;
-
-/// The load, over what it can do, that other balancers have put on each host since it made its report, if
-/// all place as many more than usual as this one does: `per_ms` for each unit of weight, of which `fills`
-/// fill it.
-/// One balancer's newcomers are nothing; in a burst those of all fill what still looks idle to each.
-#[must_use]
-pub fn coming(per_ms: f64, nodes: u16, fills: f64) -> f64 {
-    let others = f64::from(nodes.max(1) - 1);
-    if fills > 0.0 { others * per_ms * REPORT_AGE_MS / fills } else { 0.0 }
-}
-
 /// How often something has happened lately, for each ms, fading.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rate {
@@ -184,17 +171,6 @@
         assert_eq!(by_share(&[0.0, 2.0, 0.0], 1.0), Some(1));
     }
 
-    #[test]
-    fn what_all_place_together_is_on_its_way_and_one_alone_adds_nothing() {
-        // Each of 100 places a connection a second on 40 units of weight, 15 of which fill one.
-        let per_ms = 1.0 / 40.0 / 1_000.0;
-        assert!((coming(per_ms, 101, 15.0) - 100.0 / 40.0 / 15.0).abs() < 1e-9);
-        assert_eq!(
-            (coming(per_ms, 1, 15.0), coming(per_ms, 0, 15.0), coming(per_ms, 9, 0.0)),
-            (0.0, 0.0, 0.0)
-        );
-    }
-
     #[test]
     fn what_goes_makes_up_the_share_or_one_goes_by_chance() {
         assert_eq!(relief(&[50.0, 20.0, 20.0, 10.0], 0.4, || 0.5), [0]);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 use crate::variant::{Plant, Variant};
 use marllink_knowledge::{Command, Event as Asked, Held, Settings as Asking, Silence, Verdict};
-use marllink_pacing::{Budget, Pace, Rate, Shortage, by_share, calls, coming, relief, whole};
+use marllink_pacing::{Budget, Pace, Rate, Shortage, by_share, calls, relief, whole};
 use marllink_retries::Limiter;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rand_xoshiro::rand_core::{Rng, SeedableRng};
@@ -609,18 +609,16 @@
     }
 
     /// The pick among them: by chance in proportion to the square of the room that they have. The one with
-    /// most room, and in a burst those that look idle yet, would be the same for all nodes, and be overrun.
+    /// most room would be the same for all nodes, as reports are a second old, and be overrun.
     fn pick(&mut self, pending: &Pending) -> Option<usize> {
-        let more = (self.burst.at(self.now) - self.fleet.rate.at(self.now)).max(0.0);
-        let coming = coming(more, self.settings.nodes, self.fleet.carrying.connections());
         let room = |slot: &usize| {
             let (slot, id) = (*slot, self.servers[*slot].id);
             let mute = pending.redrawn < MORE_DRAWS && self.reports.mute(self.now, id);
             if self.servers[slot].place == NOWHERE || mute || !self.may_run_on(pending, slot) {
                 return 0.0;
             }
-            let known = self.reports.known(self.now, id).map(|_| self.load_now(slot) + coming);
-            let load = known.unwrap_or(UNKNOWN_LOAD);
+            let known = self.reports.known(self.now, id).is_some();
+            let load = if known { self.load_now(slot) } else { UNKNOWN_LOAD };
             if load >= BUSY_LOAD { 0.0 } else { (OVER_LOAD - load).powi(2) }
         };
         let rooms: Vec<_> = pending.drawn.iter().map(room).collect();
