--- a/fleet/src/world/network.rs
+++ b/fleet/src/world/network.rs
@@ -128,7 +128,11 @@
                 (true, report.map_or_else(Vec::new, |(_, r)| r.to_vec()))
             }
         };
-        let Some(way) = self.way(node, host) else { return };
+        let Some(way) = self.way(node, host) else {
+            // It was cut off with the question on its way: the balancer gives that up after a second.
+            let (ok, report) = (false, Vec::new());
+            return self.queue.after(1_000.0, Event::Told { node, life, host, ok, report });
+        };
         self.queue.after(way, Event::Told { node, life, host, ok, report });
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1047,9 +1047,9 @@
             self.go(id, out);
             return;
         }
-        let wanted = out.len();
         self.ask(Asked::Wanted { pick: id.0, hosts }, out);
-        if out[wanted..].iter().any(|a| matches!(a, Action::Probe(_))) {
+        // Also where others have asked already: their question may get no answer.
+        if self.reports.due().is_some() {
             out.push(Action::SetTimer { delay_ms: asking(&self.settings).patience_ms, token: PATIENCE });
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -758,3 +758,35 @@
     node.now += 200.0;
     assert!(moved(&node.on(Event::Silent { server: ServerId(2), sign: Sign::NoConnection })).is_empty());
 }
+
+#[test]
+fn a_pick_that_waits_for_a_server_asked_before_goes_on_when_its_patience_ends() {
+    // A server in doubt was asked and never answered; a pick that drew it waited for that answer alone, and
+    // its client had none in its time.
+    let mut settings = settings();
+    settings.limits.probe = true;
+    settings.report_fields = vec![ReportField::Utilization];
+    let mut node = Node::new(settings, entries(1));
+    let mut actions = Vec::new();
+    let doubt = Event::Silent { server: ServerId(1), sign: Sign::Unanswered };
+    node.balancer.handle(node.now, doubt, &mut actions);
+    assert_eq!(actions, [Action::Probe(ServerId(1))]);
+    actions.clear();
+    let new = NewRequest { request: RequestId(1), time_left_ms: 1_000.0, ..NewRequest::default() };
+    node.balancer.handle(node.now, Event::Request(new), &mut actions);
+    // Each draw that waits names a time at which it goes on; a silent server is taken on the last.
+    for _ in 0..4 {
+        let timer = actions.iter().find_map(|a| match a {
+            Action::SetTimer { delay_ms, token } => Some((*delay_ms, *token)),
+            _ => None,
+        });
+        if sent(&actions).is_some() {
+            break;
+        }
+        let (delay_ms, token) = timer.expect("a time at which the pick goes on");
+        node.now += delay_ms;
+        actions.clear();
+        node.balancer.handle(node.now, Event::Timer(token), &mut actions);
+    }
+    assert_eq!(sent(&actions), Some(ServerId(1)));
+}
