--- a/src/decide.rs
+++ b/src/decide.rs
@@ -579,7 +579,7 @@
         // A few draws seldom meet the own zone where there are many: as many again for each other zone.
         let prefers = self.settings.prices.cross_zone > 0.0;
         let draws = MARGIN * self.draws * if prefers { usize::from(self.settings.zones.max(1)) } else { 1 };
-        let (mut seen, mut drawn, mut least) = (Vec::new(), Vec::<(f64, usize)>::new(), f64::INFINITY);
+        let (mut seen, mut drawn) = (Vec::new(), Vec::<(f64, usize)>::new());
         for round in 0..ROUNDS {
             for _ in 0..draws {
                 let Some(slot) = self.draw() else { return Vec::new() };
@@ -588,20 +588,17 @@
                     continue;
                 }
                 seen.push(slot);
-                let count = self.load(slot) - if prefers { self.zone_credit(slot) } else { 0.0 };
-                // What is known of it is looked at only where that may still matter.
-                let fits = count <= least && self.may_run_on(pending, slot);
-                if fits && !self.full(slot) && self.cold_allows(slot) {
+                if self.may_run_on(pending, slot) && !self.full(slot) && self.cold_allows(slot) {
+                    let credit = if prefers { self.zone_credit(slot) } else { 0.0 };
                     let mute = self.reports.mute(self.now, self.servers[slot].id);
-                    let count = if mute { count + MUTE } else { count };
-                    least = least.min(count);
-                    drawn.push((count, slot));
+                    drawn.push((self.load(slot) + if mute { MUTE } else { -credit }, slot));
                 }
             }
             if !drawn.is_empty() {
                 break;
             }
         }
+        let least = drawn.iter().map(|d| d.0).fold(f64::INFINITY, f64::min);
         drawn.retain(|d| d.0 == least);
         let weights: Vec<_> = drawn.iter().map(|d| self.servers[d.1].weight).collect();
         // One that is chosen twice stays so: it is asked once, and has two chances.
