Open the watch where lists are pushed, unasked, and again whenever it ends

Seen: on the second deployment hosts long gone were sent to and cold ones taken for warm; no call reached discovery. Cause: `on_list` (src/decide.rs) sets the timer of the first call on `Cached` only where the settings say `Ask`. So the fault is the network side's: node/src/membership/discovery.rs keeps the watch open where lists are pushed, and calls again 200 ms after one has ended, without a word to the decisions, which would back off as for a shared service.

--- a/node/src/membership/discovery.rs
+++ b/node/src/membership/discovery.rs
@@ -1,7 +1,11 @@
 //! Discovery's client: fetches the list of form hosts and watches its changes.
 //!
-//! Calls are made only when the decisions ask for them; each is answered by a list or by word that
-//! it failed. When to ask again is theirs to decide.
+//! Where discovery is asked, calls are made only when the decisions ask for them; each is answered by a
+//! list or by word that it failed. When to ask again is theirs to decide: one service answers all.
+//!
+//! Where lists are pushed, an agent on this machine answers at once and at no cost, and what is pushed
+//! comes by a watch that is open there. The decisions are told of lists alone and never ask, so the watch
+//! is opened here at the start, and again whenever it ends.
 
 use crate::core::{Core, Membership};
 use crate::exchange::resume::Resume;
@@ -24,6 +28,9 @@
 /// A watch brings at least an empty line every 2 s; one that is silent for so long is lost. Bytes count,
 /// not lines, as a long list may come in many pieces.
 const SILENCE_MS: Millis = 3_000.0;
+/// Where lists are pushed, a watch that has ended is opened again after so long: the agent is this machine's
+/// own and calls to it cost nothing, but one that refuses them must not be called in a loop.
+const PUSHED_AGAIN_MS: Millis = 200.0;
 /// No list comes near this; a longer body is refused.
 const LONGEST_BODY: usize = 16 * 1024 * 1024;
 
@@ -34,6 +41,8 @@
     directory: Rc<Directory>,
     address: Cell<SocketAddr>,
     zones: Vec<String>,
+    /// Lists are pushed: the watch is kept open from here.
+    pushed: bool,
     /// The list in hand, and its version.
     targets: RefCell<BTreeMap<String, Target>>,
     rev: Cell<u64>,
@@ -53,6 +62,7 @@
         directory: Rc<Directory>,
         address: SocketAddr,
         zones: Vec<String>,
+        pushed: bool,
     ) -> Rc<Self> {
         Rc::new_cyclic(|me| Self {
             core: Rc::downgrade(core),
@@ -60,6 +70,7 @@
             directory,
             address: Cell::new(address),
             zones,
+            pushed,
             targets: RefCell::default(),
             rev: Cell::new(0),
             fetch: RefCell::new(None),
@@ -74,9 +85,14 @@
         self.resume.replace(Some(resume));
     }
 
-    /// Begins with the list as it was known before the start; it may be old.
+    /// Begins with the list as it was known before the start; it may be old. Where lists are pushed, what
+    /// has changed since is asked for at once.
     pub fn start_from(&self, known: &List) {
         self.tell(known, ListKind::Cached);
+        if self.pushed {
+            tracing::info!("discovery: lists are pushed, the watch of {} is kept open", self.address.get());
+            self.watch();
+        }
     }
 
     /// Goes over to the service at another address, at once. Form hosts stay known until it tells
@@ -187,7 +203,7 @@
     }
 
     /// Watches the list until the watch ends, and tells why it did.
-    async fn watch_list(&self) -> Result<(), String> {
+    async fn watch_list(&self) -> Result<std::convert::Infallible, String> {
         let path = format!("/catalog/members?watch=1&after={}", self.rev.get());
         let mut body = self.call(&path).await?;
         loop {
@@ -229,8 +245,13 @@
         }
         let Some(discovery) = self.me.upgrade() else { return };
         let watching = tokio::task::spawn_local(async move {
-            if let Err(reason) = discovery.watch_list().await {
-                discovery.failed("watch", &reason);
+            loop {
+                let Err(reason) = discovery.watch_list().await;
+                if !discovery.pushed {
+                    return discovery.failed("watch", &reason);
+                }
+                tracing::info!("discovery: watch: {reason}; it is opened again");
+                discovery.clock.sleep(PUSHED_AGAIN_MS).await;
             }
         });
         self.watch.replace(Some(watching.abort_handle()));
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -121,6 +121,7 @@
         directory.clone(),
         config.discovery,
         config.settings.names.zones.clone(),
+        config.settings.decisions.discovery == marllink::Discovery::Push,
     );
     let resume = match (&features.operators.sessions, features.keys) {
         (Some(sessions), Some(keys)) => {
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! The real program as a process, with the test as its clients, form hosts and discovery.
 #![allow(missing_docs, reason = "tests are named for what they show")]
+#![allow(dead_code, reason = "each test program uses a part of it")]
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -157,11 +158,27 @@
         Self::start_beside(hosts, sockets, |_| ())
     }
 
+    /// One to which lists are pushed, by an agent that the test plays as it does discovery.
+    pub fn start_pushed(hosts: &[&Host]) -> Self {
+        let pushed = |config: String| config.replace("on_request", "pushed");
+        Self::start_as(hosts, 256, pushed, |_| ())
+    }
+
     /// The same, once `beside` has laid something at the place where successors ask.
     pub fn start_beside<T>(
         hosts: &[&Host],
         sockets: usize,
         beside: impl FnOnce(&std::path::Path) -> T,
+    ) -> Self {
+        Self::start_as(hosts, sockets, |config| config, beside)
+    }
+
+    /// The same with its configuration changed.
+    pub fn start_as<T>(
+        hosts: &[&Host],
+        sockets: usize,
+        change: impl FnOnce(String) -> String,
+        beside: impl FnOnce(&std::path::Path) -> T,
     ) -> Self {
         let entries: Vec<_> = hosts.iter().map(|h| h.entry("SERVING")).collect();
         let discovery = listen();
@@ -179,7 +196,7 @@
         );
         let tmp = std::env::temp_dir().join(format!("marllink-{}", listen.to_string().replace(':', "-")));
         std::fs::create_dir_all(&tmp).expect("a folder can be made");
-        std::fs::write(tmp.join("config.json"), config).expect("a file can be written");
+        std::fs::write(tmp.join("config.json"), change(config)).expect("a file can be written");
         let _beside = beside(&tmp.join(format!("marllink-{listen}.sock")));
         Self::spawn(listen, admin, discovery, std::rc::Rc::new(Tmp(tmp)), 0)
     }
