Weigh all hosts where the own zone has none, and let no door hang on a hand-over

Ruled out: another version, a time-out, the list. Carrying had the same division where all hosts report no load.

--- a/knowledge/src/carrying.rs
+++ b/knowledge/src/carrying.rs
@@ -46,16 +46,21 @@
     /// The load that a unit of weight can carry, in the caller's unit; 0 as long as that is not known.
     #[must_use]
     pub fn load(&self) -> f64 {
-        self.load / self.share.max(f64::MIN_POSITIVE)
+        quotient(self.load, self.share)
     }
 
     /// The connections that fill a unit of weight; 0 as long as that is not known.
     #[must_use]
     pub fn connections(&self) -> f64 {
-        self.held / self.filled.max(f64::MIN_POSITIVE)
+        quotient(self.held, self.filled)
     }
 }
 
+/// Nothing is known of what fills hosts that all report to be idle: a huge figure would be no bound at all.
+fn quotient(of: f64, by: f64) -> f64 {
+    if by > 1e-9 { of / by } else { 0.0 }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -71,5 +76,8 @@
         }
         assert!((carrying.load() - 1_000.0).abs() < 1e-6, "{}", carrying.load());
         assert!((carrying.connections() - 20.0).abs() < 1e-6);
+        let mut idle = Carrying::default();
+        idle.learn(&Held { weight: 1.0, load: 0.0, held: 5.0, own: 5.0, own_load: 3.0 });
+        assert_eq!((idle.load(), idle.connections()), (0.0, 0.0));
     }
 }
--- a/node/src/operations/admin.rs
+++ b/node/src/operations/admin.rs
@@ -8,6 +8,7 @@
 use crate::io::places::{Place, Places};
 use crate::io::pump;
 use crate::operations::handover::Handover;
+use crate::operations::maintenance::Maintenance;
 use crate::protocol::admin::{self, Answer, Asked};
 use crate::protocol::http::{self, Call, Read};
 use crate::protocol::line;
@@ -31,13 +32,19 @@
     clock: Clock,
     /// Whether this process takes clients, and who must know of maintenance.
     handover: Rc<Handover>,
+    maintenance: Rc<Maintenance>,
     places: Rc<Places>,
 }
 
 impl Admin {
     /// The door of this process.
-    pub fn new(clock: Clock, handover: Rc<Handover>, descriptors: Rc<Descriptors>) -> Rc<Self> {
-        Rc::new(Self { clock, handover, places: Places::new(descriptors, Purpose::Call) })
+    pub fn new(
+        clock: Clock,
+        handover: Rc<Handover>,
+        maintenance: Rc<Maintenance>,
+        descriptors: Rc<Descriptors>,
+    ) -> Rc<Self> {
+        Rc::new(Self { clock, handover, maintenance, places: Places::new(descriptors, Purpose::Call) })
     }
 
     /// Takes calls for ever.
@@ -94,7 +101,8 @@
                     return Answer::new(404, "no such form host was ever listed");
                 }
                 tracing::info!("operators: {uid} is {}", if begins { "taken out" } else { "put back" });
-                self.handover.maintain(server, begins);
+                self.maintenance.take(uid, begins);
+                self.handover.tell_maintenance(server, begins);
                 Answer::new(200, if begins { "out" } else { "back" })
             }
             Err(answer) => answer,
--- a/node/src/operations/handover.rs
+++ b/node/src/operations/handover.rs
@@ -79,7 +79,10 @@
     let mut link = Link { stream: Rc::new(link), read: Vec::new(), sockets: VecDeque::new() };
     send(&link.stream, &syntax::written(&Hello { version: VERSION }), &[]).await?;
     let line = link.line().await?;
-    let snapshot = syntax::snapshot(&line).ok_or_else(|| io::Error::other("no snapshot of this version"))?;
+    let snapshot = syntax::snapshot(&line).map_err(|reason| {
+        tracing::debug!("told: {}", String::from_utf8_lossy(&line));
+        io::Error::other(reason)
+    })?;
     let [clients, successors] =
         link.take_sockets().ok_or_else(|| io::Error::other("no listening sockets"))?;
     let clients = TcpListener::from_std(clients.into())?;
@@ -256,16 +259,15 @@
         })
     }
 
-    /// Operators take a form host out or put it back: both processes are told.
-    pub fn maintain(&self, server: marllink::ServerId, begins: bool) {
-        self.core.feed(Event::Maintenance { server, begins });
+    /// Operators have taken a form host out or put it back: the other process is told at once.
+    pub fn tell_maintenance(&self, server: marllink::ServerId, begins: bool) {
         self.links.borrow_mut().retain(|link| link.send(Word::Maintenance { server, begins }.into()).is_ok());
     }
 
     /// Begins where the predecessor stands: what it holds counts here as well. To be called once
     /// clients can be taken.
     pub fn follow(self: &Rc<Self>, heritage: Snapshot, mut link: Link) {
-        self.core.feed(Event::TakeOver(heritage.knowledge));
+        heritage.knowledge.into_iter().for_each(|known| self.core.feed(Event::TakeOver(known)));
         self.predecessor_holds(heritage.holds);
         let (say, words) = mpsc::unbounded_channel();
         let _ = say.send(Word::Taking.into());
@@ -425,7 +427,7 @@
             discovery: self.discovery.address(),
             list: self.discovery.list(),
             addresses: self.directory.all(),
-            knowledge: self.core.knowledge(),
+            knowledge: Some(self.core.knowledge()),
             holds,
         }
     }
--- a/node/src/operations/mod.rs
+++ b/node/src/operations/mod.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod features;
 pub mod handover;
+pub mod maintenance;
 pub mod reload;
 pub mod shutdown;
 pub mod tuning;
--- a/node/src/protocol/handover.rs
+++ b/node/src/protocol/handover.rs
@@ -30,12 +30,20 @@
     pub list: List,
     /// Every form host that was ever listed.
     pub addresses: Vec<(ServerId, SocketAddr)>,
-    /// What the decisions know.
-    pub knowledge: Knowledge,
+    /// What the decisions know. Where that can't be read the rest still holds.
+    #[serde(deserialize_with = "knowledge_or_nothing")]
+    pub knowledge: Option<Knowledge>,
     /// What the predecessor holds.
     pub holds: Holds,
 }
 
+/// What is known is worth less than that clients find one queue and connections go on: a figure that can't
+/// be read, as one that is not finite, costs what is known, and not the hand-over.
+fn knowledge_or_nothing<'a, D: serde::Deserializer<'a>>(from: D) -> Result<Option<Knowledge>, D::Error> {
+    let read = serde_json::from_value(serde_json::Value::deserialize(from)?);
+    Ok(read.inspect_err(|e| tracing::warn!("what the process before knows can't be read: {e}")).ok())
+}
+
 /// What a process that has handed over still holds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Holds {
@@ -94,9 +102,16 @@
     serde_json::from_slice(line).ok()
 }
 
-/// Reads a snapshot; `None` if it is none, or of another version.
-pub fn snapshot(line: &[u8]) -> Option<Snapshot> {
-    read(line).filter(|snapshot: &Snapshot| snapshot.version == VERSION)
+/// Reads a snapshot.
+///
+/// # Errors
+/// Tells what it is instead: of another version, or where it is not of this one's syntax.
+pub fn snapshot(line: &[u8]) -> Result<Snapshot, String> {
+    let Hello { version } = serde_json::from_slice(line).map_err(|e| format!("no snapshot: {e}"))?;
+    if version != VERSION {
+        return Err(format!("a snapshot of version {version}, not {VERSION}"));
+    }
+    serde_json::from_slice(line).map_err(|e| format!("a snapshot that can't be read: {e}"))
 }
 
 #[cfg(test)]
@@ -115,17 +130,24 @@
             discovery: address,
             list,
             addresses: vec![(ServerId(1), address)],
-            knowledge,
+            knowledge: Some(knowledge),
             holds: Holds { descriptors: 3, ids: vec![u64::MAX], holdings: Vec::new() },
         };
         let line = written(&told);
         assert_eq!(line.iter().filter(|b| **b == b'\n').count(), 1);
-        assert_eq!(snapshot(&line).as_ref(), Some(&told));
+        assert_eq!(snapshot(&line).as_ref(), Ok(&told));
         for end in 0..line.len() - 1 {
-            assert_eq!(snapshot(&line[..end]), None);
+            assert!(snapshot(&line[..end]).is_err());
         }
+        // A figure that is not finite costs what is known and nothing else.
+        let servers = &mut told.knowledge.as_mut().expect("it is known").servers;
+        servers[0].1.limit = f64::INFINITY;
+        let rest = snapshot(&written(&told)).expect("the rest is sound");
+        assert_eq!(rest.knowledge, None);
+        assert_eq!((rest.addresses, rest.holds), (told.addresses.clone(), told.holds.clone()));
         told.version += 1;
-        assert_eq!(snapshot(&written(&told)), None);
+        let other = snapshot(&written(&told));
+        assert_eq!(other, Err(format!("a snapshot of version {}, not {VERSION}", VERSION + 1)));
         assert_eq!(read(&written(&Word::Taking)), Some(Word::Taking));
     }
 }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -9,7 +9,7 @@
 use crate::operations::config::{self, Config};
 use crate::operations::features::{self, Features};
 use crate::operations::handover::{self, Heritage};
-use crate::operations::{admin, reload, shutdown, tuning};
+use crate::operations::{admin, maintenance, reload, shutdown, tuning};
 use crate::{core, exchange};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -183,6 +183,9 @@
             (clients, Ok(successors))
         }
     };
+    let maintenance =
+        maintenance::Maintenance::new(core.clone(), clock.clone(), maintenance::path(config.listen));
+    maintenance.look();
     let own = handover::lies_there(&path);
     let listener = Rc::new(listener);
     match successors {
@@ -193,7 +196,8 @@
         Err(error) => tracing::warn!("no successor can ask at {}: {error}", path.display()),
     }
     if let Some(address) = config.admin {
-        let door = admin::Admin::new(clock.clone(), handover.clone(), descriptors.clone());
+        let door =
+            admin::Admin::new(clock.clone(), handover.clone(), maintenance.clone(), descriptors.clone());
         tokio::task::spawn_local(door.listen(listen(address)?));
     }
     let clients = Rc::new(front::Clients {
@@ -217,6 +221,7 @@
         () = clients.clone().adopt(to_clients) => {}
         () = clients.tell() => {}
         () = exchange.watch_over() => {}
+        () = maintenance.follow(), if config.admin.is_some() => {}
         () = reload::follow(hangup, &config, &tuning, &handover, operators) => {}
         () = shutdown::orderly(term, &clock, &handover) => {}
     }
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -306,6 +306,12 @@
         old
     }
 
+    /// Takes away the place where a successor asks: it starts beside this one, from nothing.
+    pub fn cut_meeting(&self) {
+        std::fs::remove_file(self.tmp.0.join(format!("marllink-{}.sock", self.listen)))
+            .expect("it lies there");
+    }
+
     /// Sends the program a signal, named as `kill` does.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -507,13 +507,18 @@
         self.weigh_warm();
     }
 
-    /// What carries the own load today: of the own zone, as far as crossing has a price.
+    /// What carries the own load today: of the own zone, as far as crossing has a price and any is there.
     fn weigh_warm(&mut self) {
-        let home = |slot: &&usize| {
-            self.settings.prices.cross_zone <= 0.0 || self.servers[**slot].zone == self.settings.zone
-        };
-        let ready = self.pickable.iter().chain(&self.ejected).filter(home);
-        self.warm_weight = ready.map(|s| self.servers[*s].weight * self.capacity(*s)).sum();
+        let weigh = |slot: &usize| self.servers[*slot].weight * self.capacity(*slot);
+        let ready = || self.pickable.iter().chain(&self.ejected);
+        let home = ready().filter(|slot| self.servers[**slot].zone == self.settings.zone).map(weigh).sum();
+        let stays = self.settings.prices.cross_zone > 0.0 && home > 0.0;
+        self.warm_weight = if stays { home } else { ready().map(weigh).sum() };
+    }
+
+    /// What a set-up is for each unit of that; nothing where there is none.
+    fn per_warm(&self) -> f64 {
+        if self.warm_weight > 0.0 { 1.0 / self.warm_weight } else { 0.0 }
     }
 
     // ---- Load counts and draws ------------------------------------------------------------------
@@ -1086,7 +1091,7 @@
         out.push(Action::Send { request: id, server: self.servers[slot].id, timeout_ms });
         self.add_open(slot, 1);
         self.servers[slot].track.budget.spend();
-        self.burst.add(self.now, 1.0 / self.warm_weight.max(f64::MIN_POSITIVE));
+        self.burst.add(self.now, self.per_warm());
         self.reports.handle(self.now, Asked::Used(self.servers[slot].id), &mut Vec::new());
         self.retries.sent();
         pending.phase = Phase::Trying;
@@ -1159,7 +1164,7 @@
         let took_ms = self.now - pending.sent_at;
         self.retries.stood(self.now, took_ms);
         self.reports.handle(self.now, Asked::Paid, &mut Vec::new());
-        self.fleet.rate.add(self.now, 1.0 / self.warm_weight.max(f64::MIN_POSITIVE));
+        self.fleet.rate.add(self.now, self.per_warm());
         self.blame(&erred, true);
     }
 
