Keep groups to few hosts, let tenants above their share yield, move fewer from slow hosts

By a log of the notes of big-2: one a second for each balancer and host, 582 ms once and 20 ms a second later, so the heaviest connections, which go first, took far more load along than their share by count.

Ordinary path: same counts, same draws; tie-break and draws are open points.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -122,9 +122,9 @@
         self.u64("a key")?;
         let time_left_ms = self.f64("a time budget")?;
         self.f64("a size hint")?;
-        self.u64("a group")?;
+        let group = self.u64("a group")?;
         let flags = self.u8("flags")?;
-        Ok(NewRequest { request, class, tenant, time_left_ms, retry: flags & 2 != 0 })
+        Ok(NewRequest { request, class, tenant, time_left_ms, retry: flags & 2 != 0, group })
     }
 
     fn outcome(&mut self) -> Result<Outcome, Malformed> {
--- a/fleet/src/setting.rs
+++ b/fleet/src/setting.rs
@@ -119,6 +119,8 @@
         discovery: Discovery::Ask,
         classes: vec![class(3.0, 100.0), class(5.0, 60.0)],
         tenants: Vec::new(),
+        over_share_worth: 1.0,
+        groups: false,
         report_fields: vec![ReportField::Utilization, ReportField::InFlight],
         limits: Limits {
             connect_timeout_ms: 200.0,
--- a/node/src/exchange/mod.rs
+++ b/node/src/exchange/mod.rs
@@ -225,6 +225,7 @@
             tenant: TenantId(tenant),
             time_left_ms: wait_ms - (self.clock.now() - taken_at),
             retry: opening.retry,
+            group: opening.group,
         };
         let time_left_ms = new.time_left_ms;
         let session = opening.session.as_ref().map(|(text, _)| text.clone());
@@ -355,6 +356,8 @@
             let connection = Connection {
                 id: entry.opening.id,
                 class: entry.opening.class.clone(),
+                tenant: entry.opening.tenant.clone(),
+                group: entry.opening.group,
                 server: out.server,
                 load: entry.pipe.load.get(),
                 session,
@@ -371,10 +374,12 @@
 
     /// Goes on with a connection that a predecessor has passed on.
     pub fn adopt(&self, connection: Connection, client: TcpStream, host: TcpStream) {
-        let Connection { id, class, server, load, session } = connection;
+        let Connection { id, class, tenant, group, server, load, session } = connection;
         // The predecessor may still tell that it holds this id, but it can't be open here.
         let Some(id_in_use) = IdInUse::take(id, &self.in_use) else { return };
-        let number = self.tuning.now().names.classes.number_once(&class);
+        let names = &self.tuning.now().names;
+        let number = names.classes.number_once(&class);
+        let of_tenant = tenant.as_ref().and_then(|tenant| names.tenants.number_once(tenant));
         let (request, exchange) = (self.core.number_request(), self.me.upgrade().expect("it is in use"));
         let pipe = Pipe::new();
         pipe.standing.set(true);
@@ -383,7 +388,7 @@
         let attempt = AttemptNo(0);
         let entry = Entry {
             _id: id_in_use,
-            opening: Rc::new(Opening::standing(id, class)),
+            opening: Rc::new(Opening::standing(id, class, tenant, group)),
             pipe: pipe.clone(),
             phase: Phase::Standing,
             attempts: 1,
@@ -397,7 +402,8 @@
         self.entries.borrow_mut().insert(request, entry);
         // A class that was withdrawn before this process began has no number here, and counts as any.
         let class = ClassId(number.unwrap_or(u16::MAX));
-        let new = NewRequest { request, class, ..NewRequest::default() };
+        let tenant = TenantId(of_tenant.unwrap_or(u16::MAX));
+        let new = NewRequest { request, class, tenant, group, ..NewRequest::default() };
         self.core.feed(Event::OpenConnection { request: new, server });
         self.core.feed(Event::ConnectionLoad { request, load });
         if let (Some(passed), Some(resume)) = (session, &self.resume) {
--- a/node/src/protocol/handover.rs
+++ b/node/src/protocol/handover.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 /// The version of all that is written here. A successor that reads another starts plainly.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 /// No snapshot comes near this; a longer line is refused.
 pub const LONGEST: usize = 16 * 1024 * 1024;
 
@@ -80,6 +80,10 @@
     pub id: u64,
     /// Its class, by name.
     pub class: String,
+    /// Its tenant, by name, and its group.
+    pub tenant: Option<String>,
+    /// 0 if none.
+    pub group: u64,
     /// The form host that holds it.
     pub server: ServerId,
     /// Its load, as last told.
@@ -141,7 +145,7 @@
         }
         // A figure that is not finite costs what is known and nothing else.
         let servers = &mut told.knowledge.as_mut().expect("it is known").servers;
-        servers[0].1.limit = f64::INFINITY;
+        servers[0].1.failed_at = f64::INFINITY;
         let rest = snapshot(&written(&told)).expect("the rest is sound");
         assert_eq!(rest.knowledge, None);
         assert_eq!((rest.addresses, rest.holds), (told.addresses.clone(), told.holds.clone()));
--- a/node/src/protocol/line.rs
+++ b/node/src/protocol/line.rs
@@ -34,6 +34,8 @@
     pub wait_ms: f64,
     /// A client's retry.
     pub retry: bool,
+    /// The client, or the group that it belongs to; 0 if none is told.
+    pub group: u64,
     /// The form host at which the connection was open before.
     pub at: Option<String>,
     /// A session: `new`, or a token to go on by, and where that stands in the line.
@@ -42,8 +44,8 @@
 
 impl Opening {
     /// What is left of one whose connection stands: it is never sent again.
-    pub fn standing(id: u64, class: String) -> Self {
-        Self { id, class, ..Self::default() }
+    pub fn standing(id: u64, class: String, tenant: Option<String>, group: u64) -> Self {
+        Self { id, class, tenant, group, ..Self::default() }
     }
 
     /// The line for a form host: unchanged, but that it tells how long the balancer will wait.
@@ -190,7 +192,7 @@
         match *name {
             "c" => class = Some((*text).to_owned()),
             "d" => wait = Some((whole(text)?, span.clone())),
-            "g" => _ = hex.parse(LocatingSlice::new(text.as_bytes())).ok()?,
+            "g" => opening.group = hex.parse(LocatingSlice::new(text.as_bytes())).ok()?,
             "t" => opening.tenant = Some((*text).to_owned()),
             "at" => opening.at = Some((*text).to_owned()),
             "s" if *text == "new" || text.len() >= SHORTEST_TOKEN => {
@@ -238,6 +240,7 @@
         let opening = open(LINE).expect("it is well formed");
         assert_eq!((opening.id, opening.class.as_str()), (0x9b1f_03aa_5c7e_2d41, "chat"));
         assert_eq!((opening.wait_ms, opening.retry, &opening.at), (2000.0, true, &None));
+        assert_eq!(opening.group, 0x5c0f_6e1a_2b3d_4c59);
         let line = String::from_utf8(opening.for_host(981.7, None)).expect("it is text");
         assert_eq!(line, String::from_utf8_lossy(LINE).replace("d=2000", "d=981"));
     }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -30,6 +30,13 @@
     prices: BootPrices,
     #[serde(default)]
     specifics: Specifics,
+    #[serde(default = "usual_worth")]
+    over_share_worth: f64,
+}
+
+/// Where nothing is told of it, what is above a share is worth as much as the rest.
+fn usual_worth() -> f64 {
+    1.0
 }
 
 #[derive(Deserialize)]
@@ -51,8 +58,6 @@
 struct Account {
     #[serde(default)]
     name: String,
-    #[serde(default)]
-    quota_per_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -104,6 +109,8 @@
 struct Specifics {
     message_aim_ms: Vec<f64>,
     tells_delay: bool,
+    groups: bool,
+    tenant_quota_connections: Vec<f64>,
 }
 
 /// What the settings say.
@@ -290,6 +297,9 @@
         "fail_rate" => ReportField::ErrorRate,
         _ => ReportField::Other,
     });
+    let quotas = &boot.specifics.tenant_quota_connections;
+    let quota = |at| quotas.get(at).copied().filter(|quota: &f64| quota.is_finite() && *quota > 0.0);
+    let tenant = |at| Tenant { quota_connections: quota(at).unwrap_or(0.0) };
     let decisions = Settings {
         node: NodeId(boot.index),
         nodes: boot.balancers,
@@ -297,7 +307,9 @@
         zones: boot.azs.len().min(255) as u8,
         discovery: if boot.discovery == "pushed" { Discovery::Push } else { Discovery::Ask },
         classes: classes.collect(),
-        tenants: boot.accounts.iter().map(|a| Tenant { quota_per_s: a.quota_per_s }).collect(),
+        tenants: (0..boot.accounts.len()).map(tenant).collect(),
+        over_share_worth: boot.over_share_worth,
+        groups: boot.specifics.groups,
         report_fields: if reports { fields.collect() } else { Vec::new() },
         limits: Limits {
             connect_timeout_ms: boot.bounds.connect_timeout_ms,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,8 @@
 
 use crate::interface::*;
 use crate::variant::{Plant, Variant};
-use marllink_knowledge::{Command, Event as Asked, Held, Settings as Asking, Silence, Verdict};
+use marllink_admission::Shares;
+use marllink_knowledge::{Command, Event as Asked, Held, Silence, Verdict};
 use marllink_pacing::{Budget, Pace, Rate, Shortage, by_share, calls, relief, whole};
 use marllink_retries::Limiter;
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -24,14 +25,18 @@
 const ZONE_CREDIT: f64 = 0.8;
 /// Rounds of draws when all that was drawn is unusable (just tried, or cold and out of budget).
 const ROUNDS: usize = 8;
+/// A group's first hosts are drawn with the others, and count as holding so many connections less, each by
+/// this factor less than the one before: what a group costs a host that holds any of it is told nowhere, and
+/// is worth some connections. More would fill the first before the others of its kind.
+const GROUP_FIRST: usize = 3;
+const GROUP_CREDIT: f64 = 2.0;
+const GROUP_FADE: f64 = 0.7;
 /// So many times the draws that the paper asks for: own counts tie, and of more the order is truer.
 const MARGIN: usize = 3;
 /// Of servers that tie, so many at most are asked for their load before one is picked, and if those are
 /// full by what they say, so many draws more are made.
 const ASKED: usize = 3;
 const MORE_DRAWS: u8 = 2;
-/// A pick waits for answers for this part of the shortest aim at most.
-const ASK_SHARE: f64 = 0.1;
 /// One that does not answer counts as holding so many more: it is sent what no other may take.
 const MUTE: f64 = 1e6;
 /// A server of whose load nothing is known is taken to have this much.
@@ -49,11 +54,6 @@
 const MAX_EJECTED: f64 = 0.5;
 /// Failures within so many ms count as one: a lost server resets all its connections together.
 const SAME_FAILURE_MS: Millis = 50.0;
-/// A message-delay note holds for so many ms: notes come once a second while it lasts.
-const DELAY_NOTE_MS: Millis = 1_500.0;
-/// A server is hot when messages take this share of the strictest class's aim: it still serves
-/// well, but a queue has formed and little more would tip it.
-const HOT_SHARE: f64 = 0.5;
 /// A server with this load over what it can do is busy and takes nothing new ...
 const BUSY_LOAD: f64 = 0.7;
 /// ... and one with more than this is relieved, down to `BUSY_LOAD` ...
@@ -63,13 +63,6 @@
 /// A report is corrected by what has become of the own connections since it was made: so many
 /// housekeepings before it came, as reports are made now and then and late.
 const REPORT_AGE: usize = 4;
-/// An overloaded server loses this share of the own connections with each note, a second apart ...
-const SHED_SHARE: f64 = 0.1;
-/// ... and more the longer messages take, up to half: what is piled up must drain as well. In ms,
-/// the delay that costs all of them: twice the time between notes and some.
-const SHED_MS: Millis = 2_500.0;
-/// Time constant in ms by which the limit of a server that was overloaded grows again.
-const LIMIT_TAU_MS: Millis = 15_000.0;
 /// Where servers tell no loads, none takes more than this multiple of the mean own count per weight:
 /// where few are left that take any, all that comes would else fall on those.
 const MEAN_BOUND: f64 = 2.0;
@@ -175,6 +168,8 @@
 #[derive(Debug)]
 struct Pending {
     class: ClassId,
+    tenant: TenantId,
+    group: u64,
     phase: Phase,
     /// Servers tried last, newest first.
     tried: [usize; 2],
@@ -224,6 +219,7 @@
     silence: Silence<ServerId>,
     retries: Limiter,
     burst: Rate,
+    shares: Shares,
     variant: Variant,
     /// Own connections, a predecessor's among them.
     total: usize,
@@ -248,11 +244,12 @@
     #[must_use]
     pub fn varied(settings: Settings, seed: u64, now: Millis, variant: Variant) -> Self {
         Self {
-            slow_aim: slow_aim(&settings),
-            reports: marllink_knowledge::Knowledge::new(asking(&settings)),
+            slow_aim: settings.slow_aim(),
+            reports: marllink_knowledge::Knowledge::new(settings.asking()),
             silence: Silence::default(),
             retries: Limiter::new(variant.retries.clone(), settings.nodes, now),
             burst: Rate::new(BURST_TAU_MS, now),
+            shares: Shares::new(settings.quotas()),
             variant,
             settings,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
@@ -299,8 +296,9 @@
             Event::ServerList { kind, entries } => self.on_list(kind, &entries, out),
             Event::Maintenance { server, begins } => self.on_maintenance(server, begins, out),
             Event::Settings(settings) => {
-                self.slow_aim = slow_aim(&settings);
+                self.slow_aim = settings.slow_aim();
                 self.retries.among(settings.nodes);
+                self.shares.retune(settings.quotas());
                 self.settings = settings;
             }
             Event::TakeOver(knowledge) => self.take_over(knowledge),
@@ -410,7 +408,7 @@
             loads: [(0.0, 0.0); REPORT_AGE],
             leave_by: f64::INFINITY,
             place: NOWHERE,
-            track: Track { limit_at: self.now, ..Track::default() },
+            track: Track { strain: Strain::new(self.now), ..Track::default() },
         };
         let slot = match self.free.pop() {
             Some(slot) => {
@@ -436,8 +434,9 @@
             self.back.insert(id);
             if let Some(&slot) = self.index.get(&id) {
                 let server = &mut self.servers[slot];
-                let (limit_at, started_at, budget) = (self.now, self.now, Budget::new(1.0, self.now));
-                server.track = Track { limit_at, started_at, budget, ..Track::default() };
+                let (strain, started_at, budget) =
+                    (Strain::new(self.now), self.now, Budget::new(1.0, self.now));
+                server.track = Track { strain, started_at, budget, ..Track::default() };
             }
         }
         self.count_ready();
@@ -585,16 +584,19 @@
         let prefers = self.settings.prices.cross_zone > 0.0;
         let draws = MARGIN * self.draws * if prefers { usize::from(self.settings.zones.max(1)) } else { 1 };
         let (mut seen, mut drawn) = (Vec::new(), Vec::<(f64, usize)>::new());
+        let first = self.group_first(pending.group);
         for round in 0..ROUNDS {
-            for _ in 0..draws {
-                let Some(slot) = self.draw() else { return Vec::new() };
+            for nth in 0..draws + first.len() {
+                let Some(slot) = first.get(nth).copied().or_else(|| self.draw()) else { return Vec::new() };
                 // What is left to chance is asked once for each pick.
                 if seen.contains(&slot) || (round + 1 < ROUNDS && pending.tried.contains(&slot)) {
                     continue;
                 }
                 seen.push(slot);
                 if self.may_run_on(pending, slot) && !self.full(slot) && self.cold_allows(slot) {
-                    let credit = if prefers { self.zone_credit(slot) } else { 0.0 };
+                    let known = first.iter().position(|host| *host == slot);
+                    let credit = known.map_or(0.0, |at| GROUP_CREDIT * GROUP_FADE.powi(at as i32))
+                        + if prefers { self.zone_credit(slot) } else { 0.0 };
                     let mute = self.reports.mute(self.now, self.servers[slot].id);
                     drawn.push((self.load(slot) + if mute { MUTE } else { -credit }, slot));
                 }
@@ -605,11 +607,23 @@
         }
         let least = drawn.iter().map(|d| d.0).fold(f64::INFINITY, f64::min);
         drawn.retain(|d| d.0 == least);
+        if pending.group != 0 {
+            // All nodes break a group's ties alike, without a word between them.
+            let of = |d: &(f64, usize)| (self.servers[d.1].id.0, self.servers[d.1].weight, d.1);
+            return marllink_affinity::first(pending.group, drawn.iter().map(of), 1);
+        }
         let weights: Vec<_> = drawn.iter().map(|d| self.servers[d.1].weight).collect();
         // One that is chosen twice stays so: it is asked once, and has two chances.
         (0..ASKED).filter_map(|_| by_share(&weights, self.uniform())).map(|at| drawn[at].1).collect()
     }
 
+    /// The hosts where a group goes first, as all nodes find them; none for no group.
+    fn group_first(&self, group: u64) -> Vec<usize> {
+        let most = if group == 0 { 0 } else { GROUP_FIRST };
+        let of = |slot: &usize| (self.servers[*slot].id.0, self.servers[*slot].weight, *slot);
+        marllink_affinity::first(group, self.pickable.iter().map(of), most)
+    }
+
     /// The pick among them: by chance in proportion to the square of the room that they have. The one with
     /// most room would be the same for all nodes, as reports are a second old, and be overrun.
     fn pick(&mut self, pending: &Pending) -> Option<usize> {
@@ -719,34 +733,19 @@
         }
         let slot = pending.slot;
         let server = &mut self.servers[slot];
-        if delay_ms <= self.slow_aim * HOT_SHARE {
-            server.track.hot_until = self.now;
-            return;
-        }
-        server.track.hot_until = self.now + DELAY_NOTE_MS;
-        let open = f64::from(server.open);
-        let grown = server.track.limit * ((self.now - server.track.limit_at) / LIMIT_TAU_MS).exp();
-        server.track.limit = grown.min(open);
-        server.track.limit_at = self.now;
-        // Moved at once: a pause that would have ended by itself costs a few moves, a pile-up that
-        // is left for one more note takes several to drain.
-        if delay_ms > self.slow_aim {
-            server.track.limit *= 1.0 - (SHED_SHARE + delay_ms / SHED_MS).min(0.5);
-            let excess = open - server.track.limit;
-            self.move_some(slot, excess, out);
-        }
+        let excess = server.track.strain.note(self.now, delay_ms, self.slow_aim, f64::from(server.open));
+        self.move_some(slot, excess, out);
     }
 
     /// True if a server must take nothing new: messages on it are slow, or it is at its limit.
     fn full(&mut self, slot: usize) -> bool {
         let some = self.uniform();
         let s = &self.servers[slot];
-        let limit = s.track.limit * ((self.now - s.track.limit_at) / LIMIT_TAU_MS).exp();
         let mean = self.ready_open / self.warm_weight.max(f64::MIN_POSITIVE) * s.weight;
         let bound = if self.may_ask() { NO_LIMIT } else { MEAN_BOUND * mean + 1.0 };
         // Between whole numbers they hold on the mean over nodes and tries.
-        let room = limit.min(bound) + some;
-        s.track.hot_until > self.now || self.load_now(slot) >= BUSY_LOAD || f64::from(s.open) + 1.0 > room
+        let room = s.track.strain.limit(self.now).min(bound) + some;
+        s.track.strain.hot(self.now) || self.load_now(slot) >= BUSY_LOAD || f64::from(s.open) + 1.0 > room
     }
 
     fn may_ask(&self) -> bool {
@@ -855,7 +854,7 @@
         let mut own = Vec::with_capacity(self.servers[slot].connections.len());
         for (at, id) in self.servers[slot].connections.iter().enumerate() {
             let Some(pending) = self.requests.get(id) else { continue };
-            own.push((pending.load / self.worth(pending.class), at, *id));
+            own.push((pending.load / self.worth(pending), at, *id));
         }
         own.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
         own.into_iter().map(|(_, _, id)| id).collect()
@@ -886,6 +885,7 @@
             self.servers[slot].place = self.pickable.len();
             self.pickable.push(slot);
         }
+        self.shares.review(self.now, self.total as f64, self.on_hot());
         self.leave_draining(out);
         self.relieve_over(out);
         self.ask_due(out);
@@ -902,15 +902,16 @@
             // In order of age: of connections that seem alike the newest is moved first.
             connections.remove(at);
             self.total -= 1;
-            let load = self.requests.get(&id).map_or(0.0, |p| p.load);
+            let (load, tenant) = self.requests.get(&id).map_or((0.0, u16::MAX), |p| (p.load, p.tenant.0));
             self.servers[slot].load -= load;
+            self.shares.closed(tenant);
         }
     }
 
     /// Own connections on servers that have more than they can do: what tells a general overload.
     fn on_hot(&self) -> f64 {
         let hot = |slot: &usize| {
-            self.servers[*slot].track.hot_until > self.now || self.load_now(*slot) >= OVER_LOAD
+            self.servers[*slot].track.strain.hot(self.now) || self.load_now(*slot) >= OVER_LOAD
         };
         let own = (0..self.servers.len()).filter(|slot| !self.servers[*slot].connections.is_empty());
         let hot = own.filter(hot).map(|slot| self.servers[slot].connections.len());
@@ -951,8 +952,11 @@
         self.settings.classes.get(usize::from(class.0)).map_or(Effect::Safe, |c| c.effect)
     }
 
-    fn worth(&self, class: ClassId) -> f64 {
-        self.settings.classes.get(usize::from(class.0)).map_or(1.0, |c| c.worth.max(0.01))
+    /// By class, and whether its tenant is above its share.
+    fn worth(&self, pending: &Pending) -> f64 {
+        let above = self.shares.above(pending.tenant.0, 0.0);
+        let worth = self.settings.classes.get(usize::from(pending.class.0)).map_or(1.0, |c| c.worth);
+        (worth * if above { self.settings.over_share_worth } else { 1.0 }).max(0.01)
     }
 
     fn aim(&self, class: ClassId) -> Millis {
@@ -971,6 +975,8 @@
     fn pending(&self, new: &NewRequest, slot: usize) -> Pending {
         Pending {
             class: new.class,
+            tenant: new.tenant,
+            group: if self.settings.groups { new.group } else { 0 },
             phase: Phase::Held,
             tried: [NOWHERE; 2],
             erred: Vec::new(),
@@ -1007,6 +1013,7 @@
         let pending = Pending { phase, deadline, attempts, ..self.pending(new, slot) };
         self.add_open(slot, 1);
         self.servers[slot].connections.push(new.request);
+        self.shares.opened(new.tenant.0);
         self.total += 1;
         self.requests.insert(new.request, pending);
     }
@@ -1037,7 +1044,8 @@
         let (left, uniform) = (pending.deadline - self.now, self.uniform());
         let tries_left = self.settings.limits.max_attempts.saturating_sub(pending.attempts);
         let over = left < LEAST_LEFT_MS || tries_left == 0 || !self.may_repeat(&pending);
-        if over || self.throttled(&pending) || self.fleet.shortage.full(self.total, uniform) {
+        let above = self.shares.refuses(self.now, pending.tenant.0);
+        if over || above || self.throttled(&pending) || self.fleet.shortage.full(self.total, uniform) {
             self.answer(id, &pending, out);
             return;
         }
@@ -1052,7 +1060,7 @@
         self.ask(Asked::Wanted { pick: id.0, hosts }, out);
         // Also where others have asked already: their question may get no answer.
         if self.reports.due().is_some() {
-            out.push(Action::SetTimer { delay_ms: asking(&self.settings).patience_ms, token: PATIENCE });
+            out.push(Action::SetTimer { delay_ms: self.settings.asking().patience_ms, token: PATIENCE });
         }
     }
 
@@ -1155,6 +1163,7 @@
             return;
         }
         pending.phase = Phase::Open;
+        self.shares.opened(pending.tenant.0);
         let erred = std::mem::take(&mut pending.erred);
         let server = &mut self.servers[pending.slot];
         self.back.remove(&server.id);
@@ -1262,16 +1271,3 @@
         }
     }
 }
-
-/// The strictest aim for a message.
-fn slow_aim(settings: &Settings) -> Millis {
-    let aims = settings.classes.iter().map(|c| c.message_aim_ms).filter(|a| *a > 0.0);
-    aims.fold(f64::INFINITY, f64::min)
-}
-
-/// How servers are asked for their load.
-fn asking(settings: &Settings) -> Asking {
-    let aim = settings.classes.iter().map(|c| c.aim_ms).filter(|a| *a > 0.0).fold(f64::INFINITY, f64::min);
-    let usual = Asking::default();
-    Asking { patience_ms: usual.patience_ms.min(aim * ASK_SHARE), ..usual }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,6 +5,7 @@
 use marllink_knowledge::Carrying;
 pub use marllink_knowledge::Sign;
 use marllink_pacing::{Budget, Rate, Shortage};
+pub use marllink_relief::Strain;
 use serde::{Deserialize, Serialize};
 
 /// Milliseconds, as a point on the node's monotonic clock or as a span.
@@ -91,8 +92,8 @@
 /// A tenant of the fleet.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tenant {
-    /// Requests a second over all nodes that count as within its share; 0 if unlimited.
-    pub quota_per_s: f64,
+    /// Open connections over all nodes that count as within its share; 0 if unlimited.
+    pub quota_connections: f64,
 }
 
 /// How the list of servers reaches a node.
@@ -210,6 +211,10 @@
     pub classes: Vec<Class>,
     /// Tenants; may be empty.
     pub tenants: Vec<Tenant>,
+    /// What a connection of a tenant above its share is worth, of its usual worth.
+    pub over_share_worth: f64,
+    /// Connections of one group share work at the server that holds them.
+    pub groups: bool,
     /// What a probe's report holds, in order; empty where servers report nothing.
     pub report_fields: Vec<ReportField>,
     /// What the site allows.
@@ -220,6 +225,30 @@
     pub prices: Prices,
 }
 
+/// A pick waits for servers' answers for this part of the shortest aim at most.
+const ASK_SHARE: f64 = 0.1;
+
+impl Settings {
+    /// What of each tenant is within its share, in open connections over all nodes; 0 for no bound.
+    pub(crate) fn quotas(&self) -> Vec<f64> {
+        self.tenants.iter().map(|t| t.quota_connections).collect()
+    }
+
+    /// The strictest aim for a message; infinite where there is none.
+    pub(crate) fn slow_aim(&self) -> Millis {
+        let aims = self.classes.iter().map(|c| c.message_aim_ms).filter(|a| *a > 0.0);
+        aims.fold(f64::INFINITY, f64::min)
+    }
+
+    /// How servers are asked for their load.
+    pub(crate) fn asking(&self) -> marllink_knowledge::Settings {
+        let aims = self.classes.iter().map(|c| c.aim_ms).filter(|a| *a > 0.0);
+        let usual = marllink_knowledge::Settings::default();
+        let patience_ms = usual.patience_ms.min(aims.fold(f64::INFINITY, f64::min) * ASK_SHARE);
+        marllink_knowledge::Settings { patience_ms, ..usual }
+    }
+}
+
 /// Whether a listed server takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerState {
@@ -275,6 +304,8 @@
     pub time_left_ms: Millis,
     /// The client has tried before.
     pub retry: bool,
+    /// Its group, where [`Settings::groups`] says that there are any; 0 for none.
+    pub group: u64,
 }
 
 /// How an attempt ended.
@@ -451,14 +482,10 @@
 pub struct Track {
     /// When it last started; 0 or less for long ago.
     pub started_at: Millis,
-    /// It takes nothing new until then.
-    pub hot_until: Millis,
+    /// What is known of slow messages there.
+    pub strain: Strain,
     /// When it is relieved again at the earliest.
     pub relieve_at: Millis,
-    /// Own connections it is held to ...
-    pub limit: f64,
-    /// ... as of then.
-    pub limit_at: Millis,
     /// Failures running.
     pub failures: u32,
     /// When it failed last.
@@ -473,10 +500,8 @@
     fn default() -> Self {
         Self {
             started_at: 0.0,
-            hot_until: LONG_AGO,
+            strain: Strain::new(LONG_AGO),
             relieve_at: LONG_AGO,
-            limit: NO_LIMIT,
-            limit_at: LONG_AGO,
             failures: 0,
             failed_at: LONG_AGO,
             out_until: LONG_AGO,
@@ -491,9 +516,8 @@
     pub fn shifted(self, by: Millis) -> Self {
         Self {
             started_at: if self.started_at > 0.0 { self.started_at + by } else { 0.0 },
-            hot_until: self.hot_until + by,
+            strain: self.strain.shifted(by),
             relieve_at: self.relieve_at + by,
-            limit_at: self.limit_at + by,
             failed_at: self.failed_at + by,
             out_until: self.out_until + by,
             budget: self.budget.shifted(by),
