Take a set-up slower than a message may be for a sign of strain at its host

What each does learn is how long a set-up takes, and nothing used it.

relief/: `Strain::came_up`; one line in `on_established`. Tests in relief/ and tests/sharing.rs fail without it.

--- a/relief/src/lib.rs
+++ b/relief/src/lib.rs
@@ -74,6 +74,16 @@
         MOVED_SHARE * (open - self.limit)
     }
 
+    /// A connection has come up there after `took_ms`. A host that needs longer for that than a message may take
+    /// has work piled up before it, and messages wait behind that as well: nothing new is to go for a while,
+    /// and it keeps what it has. It is the one sign that a balancer of hundreds gets where hosts report nothing
+    /// and drop their newest before a slow message is told of.
+    pub fn came_up(&mut self, now: Millis, took_ms: Millis, aim_ms: Millis, open: f64) {
+        if took_ms > aim_ms {
+            self.note(now, aim_ms, aim_ms, open);
+        }
+    }
+
     /// Messages are slow there: nothing new is to go.
     #[must_use]
     pub fn hot(&self, now: Millis) -> bool {
@@ -118,6 +128,18 @@
         assert!((slower.note(0.0, 5_000.0, 100.0, 20.0) - 0.4 * 10.0).abs() < 1e-9);
     }
 
+    #[test]
+    fn a_slow_set_up_closes_a_host_for_a_while_and_moves_nobody() {
+        let mut strain = Strain::new(0.0);
+        strain.came_up(0.0, 99.0, 100.0, 8.0);
+        assert!(!strain.hot(0.0));
+        strain.came_up(0.0, 101.0, 100.0, 8.0);
+        assert!(strain.hot(1_499.0) && !strain.hot(1_500.0));
+        assert!((strain.limit(0.0) - 8.0).abs() < 1e-9, "it keeps what it has");
+        strain.came_up(9_000.0, 1e9, f64::INFINITY, 8.0);
+        assert!(!strain.hot(9_000.0), "where no message has an aim");
+    }
+
     #[test]
     fn a_clock_that_began_elsewhere_changes_nothing_and_no_figure_is_infinite() {
         let mut strain = Strain::new(0.0);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1171,6 +1171,7 @@
         server.load += pending.load;
         self.total += 1;
         let took_ms = self.now - pending.sent_at;
+        server.track.strain.came_up(self.now, took_ms, self.slow_aim, f64::from(server.open));
         self.retries.stood(self.now, took_ms);
         self.reports.handle(self.now, Asked::Paid, &mut Vec::new());
         self.fleet.rate.add(self.now, self.per_warm());
--- a/tests/sharing.rs
+++ b/tests/sharing.rs
@@ -106,6 +106,21 @@
     assert!(served(&mut node, 0) > 0);
 }
 
+#[test]
+fn a_host_that_is_slow_to_set_up_gets_nothing_new_for_a_while() {
+    let mut node = Node::new(site(false), entries(4));
+    let (request, actions) = node.ask(1_000.0);
+    let slow = sent(&actions).expect("nothing is in its way");
+    // Messages are wanted within 50 ms.
+    node.now += 60.0;
+    node.on(Event::Established { request, attempt: AttemptNo(0), latency_ms: 60.0 });
+    for _ in 0..20 {
+        assert_ne!(node.place().1, slow);
+    }
+    node.now += 1_500.0;
+    assert!(node.shares(40).contains_key(&slow));
+}
+
 #[test]
 fn where_all_hosts_are_slow_at_once_most_clients_stay_where_they_are() {
     let mut node = Node::new(site(false), entries(6));
