--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1172,7 +1172,7 @@
         server.load += pending.load;
         self.total += 1;
         let took_ms = self.now - pending.sent_at;
-        // Where loads are told they say more, and a set-up that crosses zones may take as long on a sound host.
+        // Where loads are told they say more, and a set-up across zones may take as long on a sound host.
         let aim = if self.may_ask() { f64::INFINITY } else { self.slow_aim };
         let server = &mut self.servers[slot];
         server.track.strain.came_up(self.now, took_ms, aim, f64::from(server.open));
