--- a/emulator/src/model/crowd/client.rs
+++ b/emulator/src/model/crowd/client.rs
@@ -61,6 +61,8 @@
     pub zone: usize,
     /// Its class.
     pub class: usize,
+    /// Its group; 0 for none.
+    pub group: u64,
     /// Its connection's load now, in standard cores.
     pub load: f64,
     /// It wants its connection from then ...
@@ -106,7 +108,8 @@
             move_ms: (20.0, 20.0),
             deadline_ms: 4_800.0,
         };
-        let mut client = Client { zone: 0, class: 0, load: 0.1, from: 0.0, until: 5_000.0, failures: 0 };
+        let mut client =
+            Client { zone: 0, class: 0, group: 0, load: 0.1, from: 0.0, until: 5_000.0, failures: 0 };
         let mut rng = SmallRng::seed_from_u64(3);
         assert_eq!(client.again(0.0, Gap::Refused(0.0), &manners, &mut rng), Some(40.0));
         assert_eq!(client.again(0.0, Gap::Nobody, &manners, &mut rng), Some(80.0));
--- a/emulator/src/model/crowd/host.rs
+++ b/emulator/src/model/crowd/host.rs
@@ -25,6 +25,8 @@
     pub cold_from: f64,
     /// ... and the time in ms until it has all of it.
     pub warm_ms: Millis,
+    /// What it pays for each group that it holds any connection of, in standard cores.
+    pub group_load: f64,
 }
 
 /// Where a form host is in its life.
@@ -65,6 +67,7 @@
     id: u64,
     class: usize,
     load: f64,
+    group: u64,
     since: Millis,
 }
 
@@ -144,12 +147,25 @@
         self.load / self.capacity(now)
     }
 
+    /// How long a message takes now, in ms, where it is to be answered within `aim_ms` and usually takes `ease`
+    /// times less: longer the less there is free, and what is piled up goes first.
+    #[must_use]
+    pub fn delay_ms(&self, now: Millis, aim_ms: Millis, ease: f64) -> Millis {
+        let free = (1.0 - self.strain(now)).max(0.05);
+        aim_ms / ease / free + self.piled / self.capacity(now)
+    }
+
     /// Connections held.
     #[must_use]
     pub fn len(&self) -> usize {
         self.held.len()
     }
 
+    /// The ids of the connections held, oldest first.
+    pub fn ids(&self) -> impl Iterator<Item = u64> + '_ {
+        self.held.iter().map(|held| held.id)
+    }
+
     /// True if it holds nothing.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -207,11 +223,17 @@
         Answer::Up(wait + work_ms / self.slowed / self.warmth(now))
     }
 
-    /// A connection stands from now on.
-    pub fn hold(&mut self, now: Millis, id: u64, class: usize, load: f64) {
+    /// A connection stands from now on, of this group; 0 for none.
+    pub fn hold(&mut self, now: Millis, id: u64, class: usize, load: f64, group: u64) {
         self.advance(now);
-        self.held.push(Held { id, class, load, since: now });
-        self.load += load;
+        self.load += load + self.pays_for(group);
+        self.held.push(Held { id, class, load, group, since: now });
+    }
+
+    /// What a group costs beyond its connections, as long as it holds none of them.
+    fn pays_for(&self, group: u64) -> f64 {
+        let held = group == 0 || self.held.iter().any(|held| held.group == group);
+        if held { 0.0 } else { self.form.group_load }
     }
 
     /// A connection's load has changed.
@@ -227,7 +249,8 @@
     pub fn release(&mut self, now: Millis, id: u64) -> bool {
         self.advance(now);
         let Some(at) = self.held.iter().position(|held| held.id == id) else { return false };
-        self.load -= self.held.remove(at).load;
+        let Held { load, group, .. } = self.held.remove(at);
+        self.load -= load + self.pays_for(group);
         if self.held.is_empty() {
             self.load = 0.0;
         }
@@ -301,6 +324,7 @@
             buffer_ms: 1_000.0,
             cold_from: 0.4,
             warm_ms: 10_000.0,
+            group_load: 0.5,
         };
         Host::new(form, &[Class { ease: 10.0, message_aim_ms: 100.0, ..Class::default() }], -1e9, 0.0)
     }
@@ -308,10 +332,10 @@
     #[test]
     fn one_that_has_more_than_it_can_do_earns_nothing_and_drops_its_newest() {
         let mut host = host();
-        host.hold(0.0, 1, 0, 3.0);
+        host.hold(0.0, 1, 0, 3.0, 0);
         let before = host.earned(1_000.0)[0];
         assert!(before > 0.8, "{before}");
-        host.hold(1_000.0, 2, 0, 3.0);
+        host.hold(1_000.0, 2, 0, 3.0, 0);
         // Two cores short, in which a second of all four piles up in two seconds.
         assert_eq!(host.sheds(2_900.0), None);
         let later = host.earned(2_900.0)[0];
@@ -320,12 +344,27 @@
         assert_eq!(host.len(), 1);
     }
 
+    #[test]
+    fn a_group_is_paid_for_once_as_long_as_any_of_it_is_held() {
+        let mut host = host();
+        host.hold(0.0, 1, 0, 0.4, 7);
+        host.hold(0.0, 2, 0, 0.4, 7);
+        host.hold(0.0, 3, 0, 0.4, 8);
+        assert!((host.strain(0.0) - (3.0 * 0.4 + 2.0 * 0.5) / 4.0).abs() < 1e-9);
+        assert!(host.delay_ms(0.0, 100.0, 10.0) > 20.0 && host.delay_ms(0.0, 100.0, 10.0) < 25.0);
+        host.release(0.0, 1);
+        host.release(0.0, 3);
+        assert!((host.strain(0.0) - (0.4 + 0.5) / 4.0).abs() < 1e-9);
+        host.release(0.0, 2);
+        assert!(host.strain(0.0).abs() < 1e-9);
+    }
+
     #[test]
     fn one_that_drops_new_connections_keeps_the_old() {
         let mut host = host();
-        host.hold(0.0, 1, 0, 0.1);
+        host.hold(0.0, 1, 0, 0.1, 0);
         host.drops_new = true;
-        host.hold(5_000.0, 2, 0, 0.1);
+        host.hold(5_000.0, 2, 0, 0.1, 0);
         assert_eq!(host.sheds(5_100.0), Some(2));
         assert_eq!(host.sheds(5_100.0), None);
     }
@@ -343,7 +382,7 @@
     #[test]
     fn a_report_tells_of_the_time_before() {
         let (mut host, mut rng) = (host(), SmallRng::seed_from_u64(1));
-        host.hold(0.0, 1, 0, 2.0);
+        host.hold(0.0, 1, 0, 2.0, 0);
         host.refresh(0.0, 0.0, &mut rng);
         assert_eq!(host.report().held, 0.0);
         host.refresh(700.0, 0.0, &mut rng);
--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -1,5 +1,6 @@
 //! Days, strategies and verdicts as data.
 
+use crate::kind::Kind;
 use marllink::{Plant, Variant};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -54,6 +55,9 @@
     /// Seconds of a day.
     #[schemars(range(min = 1.0, max = 600.0))]
     pub seconds: f64,
+    /// What kind of deployment it is.
+    #[serde(default)]
+    pub kind: Kind,
 }
 
 /// A day.
@@ -81,6 +85,9 @@
     /// Balancers and hosts, where not as many as there usually are.
     #[serde(default)]
     pub fleet: Option<Fleet>,
+    /// The deployment, where it is not of the shape's kind.
+    #[serde(default)]
+    pub kind: Option<Kind>,
 }
 
 /// How many there are on a day.
@@ -116,6 +123,17 @@
         /// For how long.
         for_s: f64,
     },
+    /// One tenant's clients come so many times as often.
+    TenantBurst {
+        /// Which.
+        tenant: usize,
+        /// How many times.
+        times: f64,
+        /// For how long.
+        for_s: f64,
+    },
+    /// The largest group's connections all break, and their clients come again together.
+    GroupReconnect,
     /// A part of the clients drop and come again within a second.
     Reconnect {
         /// Which part.
@@ -258,6 +276,12 @@
         }
     }
 
+    /// True if this bug is planted in it.
+    #[must_use]
+    pub fn is_planted(&self, plant: Plant) -> bool {
+        matches!(self, Self::Varied { with, .. } if with.plant == Some(plant))
+    }
+
     /// The same with a bug planted, where it is marllink.
     #[must_use]
     pub fn planted(&self, plant: Plant) -> Self {
@@ -284,6 +308,8 @@
     Net,
     /// The same over the worst 5 s.
     Worst,
+    /// The same of the tenant that is served worst, over the time in which it keeps to its share.
+    LeastTenant,
     /// Largest error of a size's share of set-ups against its share of capacity.
     Skew,
     /// Attempts that did not stand for each that did, over the worst 5 s.
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -32,6 +32,8 @@
     pub set_ups: Vec<f64>,
     /// Capacity by host, over the time that it took new connections.
     pub capacity: Vec<f64>,
+    /// Worth wanted and served of each tenant while it keeps to its share.
+    within: Vec<(f64, f64)>,
     /// First tries of clients.
     pub first: f64,
     /// All tries of clients, and attempts sent for them.
@@ -51,7 +53,7 @@
 }
 
 impl Ledger {
-    pub fn new(seconds: f64, hosts: usize) -> Self {
+    pub fn new(seconds: f64, hosts: usize, tenants: usize) -> Self {
         let whole = seconds.ceil() as usize + 1;
         Self {
             seconds: vec![Second::default(); whole],
@@ -59,6 +61,7 @@
             waits: Histogram::new_with_bounds(1, 600_000, 3).expect("these bounds are sound"),
             set_ups: vec![0.0; hosts],
             capacity: vec![0.0; hosts],
+            within: vec![(0.0, 0.0); tenants],
             first: 0.0,
             tries: 0.0,
             sent: 0.0,
@@ -87,6 +90,14 @@
         second.served += served;
     }
 
+    /// Worth wanted and served of a tenant since the last time, none where that is above its share.
+    pub fn tenant(&mut self, tenant: usize, wanted: Option<f64>, served: Option<f64>) {
+        if let (Some(wanted), Some(served)) = (wanted, served) {
+            self.within[tenant].0 += wanted;
+            self.within[tenant].1 += served;
+        }
+    }
+
     /// A connection stands, after so many ms.
     pub fn stands(&mut self, now: Millis, host: usize, waited: Millis) {
         self.second(now).stood += 1.0;
@@ -148,6 +159,7 @@
             (Figure::Served, served),
             (Figure::Net, served - price - prices.late_fail * (1.0 - served)),
             (Figure::Worst, worst),
+            (Figure::LeastTenant, self.within.iter().map(|(w, s)| share(*s, *w)).fold(1.0, f64::min)),
             (Figure::Skew, self.skew(sizes)),
             (Figure::Vain, vain),
             (Figure::Attempts, share(self.sent, self.tries)),
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod day;
 mod drive;
 mod figures;
+mod kind;
 mod ledger;
 mod plain;
 mod queue;
@@ -21,6 +22,7 @@
 
 pub use day::{Bound, Comparison, Day, Fault, Figure, Fleet, Matrix, Shape, Strategy, What};
 pub use figures::{Figures, Interval};
+pub use kind::{Groups, Kind, Size, Sort, Tenant};
 
 /// Milliseconds of virtual time.
 pub type Millis = f64;
--- a/fleet/src/setting.rs
+++ b/fleet/src/setting.rs
@@ -2,6 +2,7 @@
 
 use crate::day::{Day, Shape};
 use crate::drive::Node;
+use crate::kind::{Kind, Size, Sort};
 use marllink::{
     Class as Told, Discovery, Effect, Limits, NodeId, Prices, ReportField, Rules, Settings, ZoneId,
 };
@@ -11,16 +12,10 @@
 use rand_distr::{Distribution, LogNormal};
 use rustc_hash::FxHashMap;
 
-/// Kinds of hosts: share, cores, and what a core does.
-const KINDS: [(f64, f64, f64); 3] = [(0.2, 4.0, 1.6), (0.4, 4.0, 1.0), (0.4, 2.0, 0.6)];
 /// True speeds spread by this part round what is registered.
 const SPEED_SPREAD: f64 = 0.15;
-/// Hosts start with this part of their capacity, and have all of it after so many ms.
-const COLD_FROM: f64 = 0.45;
-const WARM_MS: f64 = 7_000.0;
-/// What balancers are told of that.
-const TOLD_COLD_FROM: f64 = 0.35;
-const TOLD_WARM_MS: f64 = 9_000.0;
+/// Balancers are told of a colder start and a longer warm-up than hosts have, by this factor.
+const CAUTION: f64 = 9.0 / 7.0;
 
 /// Shares by zone that sum to 1, even where none are given.
 pub fn shares(given: &[f64], zones: usize) -> Vec<f64> {
@@ -41,23 +36,43 @@
     shares.iter().rposition(|s| *s > 0.0).unwrap_or(0)
 }
 
-/// Light connections, and fewer that weigh six times as much. Their mean load fills a core with
-/// `per_core` of them.
-pub fn classes(per_core: f64) -> Vec<Class> {
-    let light = 0.4 / per_core;
-    vec![
-        Class { share: 0.7, worth: 3.0, load: light, set_up_ms: 8.0, message_aim_ms: 100.0, ease: 12.0 },
-        Class { share: 0.3, worth: 5.0, load: 6.0 * light, set_up_ms: 8.0, message_aim_ms: 60.0, ease: 8.0 },
-    ]
+/// The classes, each once for each tenant and then the next. Their mean load fills a core with `per_core` of
+/// them.
+pub fn classes(kind: &Kind, per_core: f64) -> Vec<Class> {
+    let mean: f64 = kind.classes.iter().map(|c| c.share * c.load).sum();
+    let of = |sort: &Sort, tenant| Class {
+        share: sort.share * kind.tenant_share(tenant),
+        worth: sort.worth,
+        load: sort.load / mean / per_core,
+        set_up_ms: 8.0,
+        message_aim_ms: sort.message_aim_ms,
+        ease: sort.ease,
+    };
+    let tenants = kind.tenants();
+    kind.classes.iter().flat_map(|sort| (0..tenants).map(move |tenant| of(sort, tenant))).collect()
 }
 
-pub fn hosts(shape: &Shape, day: &Day, zones: usize, classes: &[Class], rng: &mut SmallRng) -> Vec<Host> {
+/// Shares of groups by size; none where there are no groups.
+pub fn groups(kind: &Kind, standing: f64) -> Vec<f64> {
+    let Some(groups) = kind.groups else { return Vec::new() };
+    let count = (standing / groups.size).round().max(1.0) as usize;
+    (1..=count).map(|rank| (rank as f64).powf(-groups.zipf)).collect()
+}
+
+pub fn hosts(
+    shape: &Shape,
+    day: &Day,
+    kind: &Kind,
+    zones: usize,
+    classes: &[Class],
+    rng: &mut SmallRng,
+) -> Vec<Host> {
     let by_zone = shares(&day.hosts, zones);
-    let kinds: Vec<f64> = KINDS.iter().map(|k| k.0).collect();
+    let sizes: Vec<f64> = kind.sizes.iter().map(|size| size.share).collect();
     let spread = LogNormal::new(0.0, SPEED_SPREAD).expect("sound");
     (0..shape.hosts)
         .map(|at| {
-            let (_, cores, speed) = KINDS[draw(&kinds, rng)];
+            let Size { cores, speed, .. } = kind.sizes[draw(&sizes, rng)];
             // Every zone has one, however small its share.
             let zone = if at < zones { at } else { draw(&by_zone, rng) };
             let form = Form {
@@ -67,8 +82,9 @@
                 most: (cores * shape.most_per_core) as usize,
                 patience_ms: 400.0,
                 buffer_ms: 1_500.0,
-                cold_from: COLD_FROM,
-                warm_ms: WARM_MS,
+                cold_from: kind.cold_from,
+                warm_ms: kind.warm_ms,
+                group_load: kind.groups.map_or(0.0, |g| g.cost / shape.per_core),
             };
             Host::new(form, classes, -1e9, 0.0)
         })
@@ -91,13 +107,14 @@
     Calls::new(Service { places: 4, call_ms: lines_ms, patience_ms: 2_000.0 })
 }
 
-pub fn nodes(shape: &Shape, zones: usize, rng: &mut SmallRng) -> Vec<Node> {
+pub fn nodes(shape: &Shape, kind: &Kind, zones: usize, cores: f64, rng: &mut SmallRng) -> Vec<Node> {
+    let all = cores * shape.per_core;
     let uneven = LogNormal::new(0.0, shape.uneven).expect("sound");
     (0..shape.balancers)
         .map(|at| Node {
             decider: None,
             life: 0,
-            settings: told(shape, zones, at),
+            settings: told(shape, kind, zones, at, all),
             share: uneven.sample(rng),
             dealt: false,
             subscribed: false,
@@ -108,23 +125,29 @@
         .collect()
 }
 
-/// What a balancer is told at its start.
-fn told(shape: &Shape, zones: usize, at: usize) -> Settings {
-    let class = |worth, message_aim_ms| Told { aim_ms: 800.0, effect: Effect::Safe, worth, message_aim_ms };
+/// What a balancer is told at its start, where all hosts can do so many connections.
+fn told(shape: &Shape, kind: &Kind, zones: usize, at: usize, all: f64) -> Settings {
+    let class = |sort: &Sort| Told {
+        aim_ms: 800.0,
+        effect: Effect::Safe,
+        worth: sort.worth,
+        message_aim_ms: sort.message_aim_ms,
+    };
+    let fields = vec![ReportField::Utilization, ReportField::InFlight];
     Settings {
         node: NodeId(at as u16),
         nodes: shape.balancers as u16,
         zone: ZoneId((at % zones) as u8),
         zones: zones as u8,
-        discovery: Discovery::Ask,
-        classes: vec![class(3.0, 100.0), class(5.0, 60.0)],
-        tenants: Vec::new(),
-        over_share_worth: 1.0,
-        groups: false,
-        report_fields: vec![ReportField::Utilization, ReportField::InFlight],
+        discovery: if kind.pushed { Discovery::Push } else { Discovery::Ask },
+        classes: kind.classes.iter().map(class).collect(),
+        tenants: kind.tenants.iter().map(|t| marllink::Tenant { quota_connections: t.quota * all }).collect(),
+        over_share_worth: kind.over_share_worth,
+        groups: kind.groups.is_some(),
+        report_fields: if kind.reports { fields } else { Vec::new() },
         limits: Limits {
             connect_timeout_ms: 200.0,
-            max_attempts: 5,
+            max_attempts: kind.attempts,
             cancel: true,
             probe: true,
             peers: false,
@@ -133,11 +156,11 @@
         },
         rules: Rules {
             ask_within_ms: 10_000.0,
-            cold_from: TOLD_COLD_FROM,
-            warm_after_ms: TOLD_WARM_MS,
+            cold_from: kind.cold_from / CAUTION,
+            warm_after_ms: kind.warm_ms * CAUTION,
             tip_multiple: 3.0,
             overload_for_ms: 3_000.0,
         },
-        prices: Prices { moves: 0.02, probe: 0.002, cross_zone: 0.16, late_fail: 0.058 },
+        prices: Prices { moves: kind.moves, probe: 0.002, cross_zone: kind.crossing, late_fail: 0.058 },
     }
 }
--- a/fleet/src/trouble.rs
+++ b/fleet/src/trouble.rs
@@ -1,7 +1,7 @@
 //! What goes wrong with the fleet, and what it does to hosts and balancers.
 
 use crate::Millis;
-use crate::day::{Strategy, What};
+use crate::day::What;
 use crate::world::{Event, World};
 use marllink::{Event as In, Plant, RequestId, ServerId, Sign};
 use marllink_emulator::model::crowd::{Gap, Phase};
@@ -39,6 +39,15 @@
                 self.times = times;
                 over(self, for_s);
             }
+            What::TenantBurst { tenant, times, for_s } => {
+                self.tenant_times[tenant] = times;
+                over(self, for_s);
+            }
+            What::GroupReconnect => {
+                for at in self.of_the_largest_group() {
+                    self.break_off(at, Gap::CutOff);
+                }
+            }
             What::Reconnect { share } => self.reconnect(share),
             What::KillBalancers { share, back_after_s } => {
                 for node in self.some(self.nodes.len(), share) {
@@ -126,6 +135,7 @@
         let now = self.now();
         match &self.day.faults[at].what {
             What::Burst { .. } => self.times = 1.0,
+            What::TenantBurst { tenant, .. } => self.tenant_times[*tenant] = 1.0,
             What::CutZone { zone, .. } => self.cut[*zone] = false,
             What::HushZone { zone, .. } => {
                 for host in self.in_zone(*zone) {
@@ -219,8 +229,7 @@
 
     /// The network code of a balancer tells its decisions that a host looks silent.
     pub(crate) fn tell_silence(&mut self, node: usize, host: usize, sign: Sign) {
-        let untold = matches!(&self.strategy, Strategy::Varied { with, .. } if with.plant == Some(Plant::SilenceUntold));
-        if !untold {
+        if !self.strategy.is_planted(Plant::SilenceUntold) {
             self.feed(node, In::Silent { server: ServerId(host as u64), sign });
         }
     }
--- a/fleet/src/world.rs
+++ b/fleet/src/world.rs
@@ -7,18 +7,20 @@
 use crate::day::{Day, Fleet, Shape, Strategy};
 use crate::drive::{self, Node};
 use crate::figures::Figures;
+use crate::kind::Kind;
 use crate::ledger::Ledger;
 use crate::plain::{Seen, Truth};
 use crate::queue::Queue;
 use crate::setting;
 use marllink::{
-    Action, AttemptNo, ClassId, Event as In, ListKind, NewRequest, Outcome, RequestId, ServerEntry, ServerId,
-    ServerState, Sign, TimerToken,
+    Action, AttemptNo, ClassId, Event as In, ListKind, NewRequest, Outcome, Plant, RequestId, ServerEntry,
+    ServerId, ServerState, Sign, TimerToken,
 };
 use marllink_emulator::model::crowd::{Answer, Calls, Class, Client, Gap, Host, Manners, Phase};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
+use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -34,6 +36,8 @@
 /// How often hosts make reports, and how often they look whether too much is piled up, in ms.
 const REPORT_MS: Millis = 700.0;
 const SHED_MS: Millis = 100.0;
+/// How often hosts that report nothing tell of slow messages, in ms.
+const NOTE_MS: Millis = 1_000.0;
 /// How often worth is added up, and the true state is looked at, in ms.
 const COUNT_MS: Millis = 100.0;
 /// A final answer may be so late, in ms.
@@ -92,6 +96,7 @@
         hosts: Vec<usize>,
     },
     Reports,
+    Notes,
     Shed,
     Count,
     /// A line of a client waits for an answer of a host that is silent.
@@ -138,6 +143,13 @@
     Over,
 }
 
+/// Worth of a while: of all tenants, and of each that keeps to its share.
+#[derive(Default)]
+struct Worth {
+    all: f64,
+    within: Vec<Option<f64>>,
+}
+
 struct Out {
     attempt: u8,
     host: usize,
@@ -163,8 +175,18 @@
     pub shape: Shape,
     pub day: Day,
     pub strategy: Strategy,
+    pub kind: Kind,
     pub zones: usize,
+    /// Each class once for each tenant and then the next.
     pub classes: Vec<Class>,
+    /// Shares of the groups; none where there are no groups.
+    groups: Vec<f64>,
+    /// Each tenant's clients come so many times as often as usual.
+    pub tenant_times: Vec<f64>,
+    /// Connections of each tenant within its share.
+    quotas: Vec<f64>,
+    /// Hosts that have told of slow messages and not yet that they are well again.
+    noted: Vec<bool>,
     pub hosts: Vec<Host>,
     pub nodes: Vec<Node>,
     pub calls: Calls,
@@ -190,7 +212,7 @@
     tries: Vec<Try>,
     wanting: Vec<f64>,
     counted_at: Millis,
-    earned: f64,
+    earned: Vec<f64>,
     waste_ms: f64,
     truth: Rc<RefCell<Truth>>,
     see_late: Millis,
@@ -206,10 +228,18 @@
         let size = day.fleet.unwrap_or(Fleet { balancers: shape.balancers, hosts: shape.hosts });
         let shape = &Shape { balancers: size.balancers, hosts: size.hosts, ..shape.clone() };
         let zones = day.zones.unwrap_or(shape.zones);
-        let classes = setting::classes(shape.per_core);
-        let hosts = setting::hosts(shape, day, zones, &classes, &mut rng);
-        let nodes = setting::nodes(shape, zones, &mut rng);
+        let kind = day.kind.as_ref().unwrap_or(&shape.kind).clone();
+        let classes = setting::classes(&kind, shape.per_core);
+        let hosts = setting::hosts(shape, day, &kind, zones, &classes, &mut rng);
+        let cores: f64 = hosts.iter().map(|h| h.form.cores).sum();
+        let mut nodes = setting::nodes(shape, &kind, zones, cores, &mut rng);
+        if strategy.is_planted(Plant::TenantBlind) {
+            nodes.iter_mut().for_each(|node| node.settings.tenants.clear());
+        }
+        let all = cores * shape.per_core;
+        let quotas: Vec<f64> = (0..kind.tenants()).map(|tenant| kind.quota(tenant) * all).collect();
         let count = hosts.len();
+        let tenants = kind.tenants();
         let see_late = if let Strategy::Seeing { late_ms } = strategy { *late_ms } else { 0.0 };
         let (manners, calls) = (setting::manners(&mut rng), setting::calls(shape, &mut rng));
         let mut world = Self {
@@ -217,11 +247,16 @@
             shape: shape.clone(),
             day: day.clone(),
             strategy: strategy.clone(),
+            groups: setting::groups(&kind, day.load * all),
+            tenant_times: vec![1.0; tenants],
+            quotas,
+            noted: vec![false; count],
+            kind,
             zones,
             hosts,
             nodes,
             calls,
-            ledger: Ledger::new(shape.seconds, count),
+            ledger: Ledger::new(shape.seconds, count, tenants),
             cut: vec![false; zones],
             hushed: vec![false; count],
             times: 1.0,
@@ -237,9 +272,9 @@
             clients: Vec::new(),
             tries: Vec::new(),
             wanting: vec![0.0; classes.len()],
+            earned: vec![0.0; classes.len()],
             classes,
             counted_at: 0.0,
-            earned: 0.0,
             waste_ms: 0.0,
             truth: Rc::default(),
             see_late,
@@ -285,6 +320,9 @@
             self.report_made(host);
         }
         self.queue.after(REPORT_MS / 7.0, Event::Reports);
+        if !self.kind.reports {
+            self.queue.after(NOTE_MS / 10.0, Event::Notes);
+        }
         self.queue.after(SHED_MS, Event::Shed);
         self.queue.after(COUNT_MS, Event::Count);
         for at in 0..self.day.faults.len() {
@@ -303,7 +341,12 @@
             let zone = setting::draw(&traffic, &mut self.rng);
             let client = self.new_client(zone);
             let Some(node) = self.deal(zone) else { continue };
-            let host = setting::draw(&capacity, &mut self.rng);
+            // Groups go together where there are any, as they would have come.
+            let group = self.clients[client].group;
+            let host = match group {
+                0 => setting::draw(&capacity, &mut self.rng),
+                _ => self.usual_host(group, &capacity),
+            };
             if self.hosts[host].len() >= self.hosts[host].form.most {
                 continue;
             }
@@ -311,13 +354,9 @@
             self.tries[at].at = At::Standing;
             self.tries[at].attempts = 1;
             self.tries[at].out = Some(Out { attempt: 0, host, held: true });
-            let (class, load) = (self.clients[client].class, self.clients[client].load);
-            self.hosts[host].hold(0.0, at as u64, class, load);
-            let request = NewRequest {
-                request: RequestId(at as u64),
-                class: ClassId(class as u16),
-                ..NewRequest::default()
-            };
+            let Client { class, load, group, .. } = self.clients[client];
+            self.hosts[host].hold(0.0, at as u64, class, load, group);
+            let request = self.request(at);
             let server = ServerId(host as u64);
             self.feed(node, In::OpenConnection { request, server });
             self.tell_load(at);
@@ -335,7 +374,9 @@
     }
 
     pub(crate) fn next_arrival(&mut self, zone: usize) {
-        let rate = self.rate(zone) * self.times;
+        let tenants = self.tenant_times.iter().enumerate();
+        let burst: f64 = tenants.map(|(t, times)| times * self.kind.tenant_share(t)).sum();
+        let rate = self.rate(zone) * self.times * burst;
         if let Ok(gap) = Exp::new(rate) {
             let wait = gap.sample(&mut self.rng);
             self.queue.after(wait, Event::Arrive(zone));
@@ -343,18 +384,47 @@
     }
 
     fn new_client(&mut self, zone: usize) -> usize {
-        let shares: Vec<f64> = self.classes.iter().map(|c| c.share).collect();
+        let times = |at: usize| self.tenant_times[at % self.tenant_times.len()];
+        let shares: Vec<f64> = self.classes.iter().enumerate().map(|(at, c)| c.share * times(at)).collect();
+        let group = match self.groups.is_empty() {
+            true => 0,
+            // By size, from 1 on.
+            false => setting::draw(&self.groups, &mut self.rng) as u64 + 1,
+        };
         let class = setting::draw(&shares, &mut self.rng);
         let load = self.classes[class].load * self.load.sample(&mut self.rng);
         let now = self.now();
         let until = now + self.shape.life_s * 1_000.0 * self.life.sample(&mut self.rng);
-        self.clients.push(Client { zone, class, load, from: now, until, failures: 0 });
+        self.clients.push(Client { zone, class, group, load, from: now, until, failures: 0 });
         self.wanting[class] += 1.0;
         let client = self.clients.len() - 1;
         self.queue.at(until, Event::Done(client));
         client
     }
 
+    /// The host of a group's connection that stands when the day begins: one of as many as the group fills.
+    fn usual_host(&mut self, group: u64, capacity: &[f64]) -> usize {
+        let share = self.groups[group as usize - 1] / self.groups.iter().sum::<f64>();
+        let hosts = (share * capacity.len() as f64).ceil() as usize;
+        let nth = self.rng.random_range(0..hosts.max(1)) as u64;
+        setting::draw(capacity, &mut SmallRng::seed_from_u64(group << 32 | nth))
+    }
+
+    /// What a balancer is told of a try.
+    fn request(&self, at: usize) -> NewRequest {
+        let Client { class, group, .. } = self.clients[self.tries[at].client];
+        let tenants = self.kind.tenants();
+        NewRequest {
+            request: RequestId(at as u64),
+            class: ClassId((class / tenants) as u16),
+            tenant: marllink::TenantId((class % tenants) as u16),
+            // A number that says nothing of the size.
+            group: group.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            time_left_ms: self.manners.deadline_ms - CLIENT_MS,
+            ..NewRequest::default()
+        }
+    }
+
     fn new_try(&mut self, client: usize, node: usize) -> usize {
         let life = self.nodes[node].life;
         let since = self.now();
@@ -413,6 +483,10 @@
                 }
                 self.queue.after(REPORT_MS / 7.0, Event::Reports);
             }
+            Event::Notes => {
+                self.notes();
+                self.queue.after(NOTE_MS / 10.0, Event::Notes);
+            }
             Event::Shed => {
                 for host in 0..self.hosts.len() {
                     let now = self.now();
@@ -479,11 +553,17 @@
         let now = self.now();
         let passed = (now - self.counted_at) / 1_000.0;
         self.counted_at = now;
-        let worth: Vec<f64> = self.classes.iter().map(|c| c.worth).collect();
-        let wanted: f64 = self.wanting.iter().zip(&worth).map(|(n, w)| n * w * passed).sum();
-        let of = |h: &mut Host| h.earned(now).iter().zip(&worth).map(|(s, w)| s * w).sum::<f64>();
-        let earned: f64 = self.hosts.iter_mut().map(of).sum();
-        self.ledger.worth(now - 1.0, wanted, earned - self.earned);
+        let mut earned = vec![0.0; self.classes.len()];
+        for host in &mut self.hosts {
+            earned.iter_mut().zip(host.earned(now)).for_each(|(sum, of)| *sum += of);
+        }
+        let served: Vec<f64> = earned.iter().zip(&self.earned).map(|(now, before)| now - before).collect();
+        let wanted: Vec<f64> = self.wanting.iter().map(|count| count * passed).collect();
+        let (wanted, served) = (self.worth_of(&wanted, passed), self.worth_of(&served, passed));
+        for (tenant, (wanted, served)) in wanted.within.iter().zip(&served.within).enumerate() {
+            self.ledger.tenant(tenant, *wanted, *served);
+        }
+        self.ledger.worth(now - 1.0, wanted.all, served.all);
         self.earned = earned;
         for host in 0..self.hosts.len() {
             if self.hosts[host].phase == Phase::Up {
@@ -492,6 +572,53 @@
         }
     }
 
+    /// The worth of so many seconds of each class and tenant, within a time: what a tenant has beyond its share
+    /// is worth less.
+    fn worth_of(&self, seconds: &[f64], passed: f64) -> Worth {
+        let tenants = self.kind.tenants();
+        let mut worth = Worth::default();
+        for tenant in 0..tenants {
+            let own = || (tenant..seconds.len()).step_by(tenants);
+            let connections = own().map(|at| seconds[at]).sum::<f64>() / passed.max(f64::MIN_POSITIVE);
+            let part = (self.quotas[tenant] / connections.max(f64::MIN_POSITIVE)).min(1.0);
+            let full: f64 = own().map(|at| seconds[at] * self.classes[at].worth).sum();
+            worth.within.push(if part < 1.0 { None } else { Some(full) });
+            worth.all += full * (part + (1.0 - part) * self.kind.over_share_worth);
+        }
+        worth
+    }
+
+    /// Hosts on which messages are slow tell each balancer with connections there, once a second, and once more
+    /// when they are well again.
+    fn notes(&mut self) {
+        let now = self.now();
+        let strictest = self.classes.iter().min_by(|a, b| a.message_aim_ms.total_cmp(&b.message_aim_ms));
+        let Some(Class { message_aim_ms, ease, .. }) = strictest.cloned() else { return };
+        for host in 0..self.hosts.len() {
+            // Not all at once: each has its own phase.
+            if (now / (NOTE_MS / 10.0)).round() as usize % 10 != host % 10 {
+                continue;
+            }
+            self.hosts[host].advance(now);
+            let delay_ms = self.hosts[host].delay_ms(now, message_aim_ms, ease);
+            let slow = self.hosts[host].phase != Phase::Down && delay_ms > message_aim_ms / 3.0;
+            if !std::mem::replace(&mut self.noted[host], slow) && !slow {
+                continue;
+            }
+            let mut told = FxHashMap::default();
+            for id in self.hosts[host].ids() {
+                if let Some(node) = self.stands_at(id as usize, host) {
+                    told.entry(node).or_insert(id);
+                }
+            }
+            let mut told: Vec<_> = told.into_iter().collect();
+            told.sort_unstable();
+            for (node, id) in told {
+                self.feed(node, In::MessageDelay { request: RequestId(id), delay_ms });
+            }
+        }
+    }
+
     // ---- Clients --------------------------------------------------------------------------------
 
     fn come(&mut self, client: usize) {
@@ -520,12 +647,7 @@
         }
         self.queue.after(self.manners.deadline_ms + GRACE_MS, Event::Deadline(at));
         self.ledger.tries += 1.0;
-        let request = NewRequest {
-            request: RequestId(at as u64),
-            class: ClassId(self.clients[client].class as u16),
-            time_left_ms: self.manners.deadline_ms - CLIENT_MS,
-            ..NewRequest::default()
-        };
+        let request = self.request(at);
         self.feed(node, In::Request(request));
     }
 
@@ -637,6 +759,18 @@
         (0..self.tries.len()).filter(|at| self.tries[*at].at == At::Standing).collect()
     }
 
+    /// Those of them that are of the largest group; none where there are no groups.
+    pub(crate) fn of_the_largest_group(&self) -> Vec<usize> {
+        let of = |at: &usize| self.clients[self.tries[*at].client].group;
+        let mut sizes = std::collections::BTreeMap::<u64, usize>::new();
+        let mut standing = self.standing();
+        standing.iter().for_each(|at| *sizes.entry(of(at)).or_default() += 1);
+        let largest = sizes.iter().filter(|(group, _)| **group != 0).max_by_key(|(_, size)| **size);
+        let largest = largest.map_or(0, |(group, _)| *group);
+        standing.retain(|at| largest != 0 && of(at) == largest);
+        standing
+    }
+
     /// A client's standing connection breaks on its own side.
     pub(crate) fn break_off(&mut self, at: usize, gap: Gap) {
         let client = self.tries[at].client;
--- a/fleet/src/world/lives.rs
+++ b/fleet/src/world/lives.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// An agent on a balancer's own machine answers after so many ms.
+const AGENT_MS: Millis = 5.0;
+
 impl World {
     // ---- The list -------------------------------------------------------------------------------
 
@@ -38,7 +41,15 @@
                 _ => Some(*self.nodes[node].told.entry(entry.server).or_insert(now)),
             };
         }
-        self.feed(node, In::ServerList { kind, entries });
+        // What an agent has counts as told, whether it was asked for or not.
+        if !(self.kind.pushed && self.strategy.is_planted(Plant::NeverWatch)) {
+            self.feed(node, In::ServerList { kind, entries });
+        }
+    }
+
+    /// An agent is silent while discovery is down, and then tells what has become of it.
+    fn pushed_at(&self, at: Millis) -> Millis {
+        if self.kind.pushed { at.max(self.calls.down_until) } else { at }
     }
 
     /// Tells all subscribers of a host, after a while.
@@ -49,7 +60,8 @@
                 let life = self.nodes[node].life;
                 let spread = 60.0 * self.rng.random::<f64>();
                 let (kind, hosts) = (ListKind::Delta, vec![host]);
-                self.queue.after(wait + spread, Event::News { node, life, kind, hosts });
+                let at = self.pushed_at(self.now() + wait + spread);
+                self.queue.at(at, Event::News { node, life, kind, hosts });
             }
         }
     }
@@ -70,6 +82,11 @@
         let entries: Vec<_> = (0..self.hosts.len()).map(|h| self.entry(h)).collect();
         let entries = entries.into_iter().filter(|e| e.state != ServerState::Gone).collect();
         self.feed(node, In::ServerList { kind: ListKind::Cached, entries });
+        if self.kind.pushed {
+            // The network code opens the watch unasked, and the agent answers at once with all that it has.
+            let (kind, hosts) = (ListKind::Full, (0..self.hosts.len()).collect());
+            self.queue.at(self.pushed_at(now + AGENT_MS), Event::News { node, life, kind, hosts });
+        }
         let wait = 100.0 + 200.0 * self.rng.random::<f64>();
         self.queue.after(wait, Event::Deal { node, life, dealt: true });
     }
--- a/fleet/src/world/network.rs
+++ b/fleet/src/world/network.rs
@@ -22,14 +22,15 @@
             return;
         }
         let told = self.nodes[node].told.get(&server).copied();
-        if told.is_some_and(|told| now - told > 500.0) {
+        if told.is_some_and(|told| now - told > self.kind.grace_ms) {
             self.ledger.breach(now, || format!("host {host} was sent a try long after it drained"));
         }
         self.ledger.sent += 1.0;
         let attempt = self.tries[at].attempts;
         self.tries[at].attempts += 1;
-        if attempt >= 5 {
-            self.ledger.breach(now, || format!("try {at} has more than five attempts"));
+        let most = self.kind.attempts;
+        if attempt >= most {
+            self.ledger.breach(now, || format!("try {at} has more than {most} attempts"));
         }
         self.tries[at].out = Some(Out { attempt, host, held: false });
         let zone = usize::from(self.nodes[node].settings.zone.0);
@@ -63,12 +64,12 @@
         }
         let host = out.host;
         let Some(way) = self.way(node, host) else { return };
-        let (class, load) = (self.clients[client].class, self.clients[client].load);
+        let Client { class, load, group, .. } = self.clients[client];
         self.cold_arrival(host);
         let work = self.classes[class].set_up_ms + HANDSHAKE_WORK_MS;
         let outcome = match self.hosts[host].ask(now, work, &mut self.rng) {
             Answer::Up(after) => {
-                self.hosts[host].hold(now, at as u64, class, load);
+                self.hosts[host].hold(now, at as u64, class, load, group);
                 self.tries[at].out = Some(Out { attempt, host, held: true });
                 return self.queue.after(after + way, Event::Stands { at, attempt });
             }
--- a/fleet/tests/hard_cases.rs
+++ b/fleet/tests/hard_cases.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs, reason = "tests are named for what they show")]
 
 use marllink::{Plant, Variant};
-use marllink_fleet::{Day, Fault, Figure, Figures, Shape, Strategy, What, play};
+use marllink_fleet::{Day, Fault, Figure, Figures, Kind, Shape, Strategy, What, play};
 
 fn shape() -> Shape {
     Shape {
@@ -14,6 +14,7 @@
         uneven: 0.7,
         life_s: 40.0,
         seconds: 20.0,
+        kind: Kind::default(),
     }
 }
 
@@ -27,6 +28,7 @@
         hosts: Vec::new(),
         faults,
         fleet: None,
+        kind: None,
     }
 }
 
--- a/lab/src/matrix.rs
+++ b/lab/src/matrix.rs
@@ -8,10 +8,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Figures shown for each day and strategy, with their heads.
-const SHOWN: [(Figure, &str); 14] = [
+const SHOWN: [(Figure, &str); 16] = [
     (Figure::Served, "served"),
     (Figure::Net, "net"),
     (Figure::Worst, "worst 5s"),
+    (Figure::LeastTenant, "tenant"),
     (Figure::Skew, "skew"),
     (Figure::Vain, "vain 5s"),
     (Figure::Attempts, "attempts"),
@@ -20,6 +21,7 @@
     (Figure::Probes, "probes"),
     (Figure::Calls, "calls"),
     (Figure::ColdOver, "cold"),
+    (Figure::Moves, "moves"),
     (Figure::MovedAtOnce, "at once"),
     (Figure::Refused, "refused"),
     (Figure::WaitTail, "wait99"),
--- a/src/variant.rs
+++ b/src/variant.rs
@@ -38,4 +38,10 @@
     ColdSum,
     /// The decisions are not told of servers that look silent, only of slow messages.
     SilenceUntold,
+    /// Where lists are pushed, nobody opens the watch by which they come.
+    NeverWatch,
+    /// The decisions are not told what tenants may use.
+    TenantBlind,
+    /// All that a slow server holds over its limit is moved, though others are as slow.
+    MoveWhenAllSlow,
 }
