Give a group as many hosts as its share, and a tenant its share before it yields

A group went to three first hosts whatever its size, so one that is a quarter of all filled those while others idled.

--- a/affinity/src/lib.rs
+++ b/affinity/src/lib.rs
@@ -6,8 +6,15 @@
 //! 2005) agree on where it goes first, next and so on, whatever each of them sees. A host that comes or
 //! goes changes the place of no other.
 //!
+//! How many of them a group is to have follows from its share of all connections, which each balancer guesses by
+//! what it has seen ([`Sizes`]): a group that is a quarter of all would else fill its first host while others idle.
+//!
 //! No I/O, no clock, no randomness: the same arguments give the same answer at every balancer.
 
+mod sizes;
+
+pub use sizes::Sizes;
+
 /// What a host counts for with a group: the highest is its first host. A host of twice the weight comes
 /// first for twice as many groups. `weight` is to be positive; one that is not comes last.
 #[must_use]
--- a/relief/src/lib.rs
+++ b/relief/src/lib.rs
@@ -33,7 +33,7 @@
 /// about two and a half times the mean where loads spread as the platform's do (sigma near 1, classes six
 /// times apart), so the host has lost the whole share of its load with these; and the rest leave by
 /// themselves, as nothing new comes. Moved too, they would leave a host half empty and set up again elsewhere.
-const MOVED_SHARE: f64 = 0.4;
+pub const MOVED_SHARE: f64 = 0.4;
 /// Time constant in ms by which the limit of a host that was overloaded grows again.
 const LIMIT_TAU_MS: Millis = 15_000.0;
 /// A limit that limits nothing.
--- a/retries/src/lib.rs
+++ b/retries/src/lib.rs
@@ -18,6 +18,10 @@
 //! assert!(!limiter.allows_again(0.0, 0.2));
 //! ```
 
+mod effect;
+
+pub use effect::{Effect, KeyScope, Ran};
+
 use serde::{Deserialize, Serialize};
 
 /// Milliseconds, as a point on the caller's monotonic clock or as a span.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,9 +9,10 @@
 use crate::interface::*;
 use crate::variant::{Plant, Variant};
 use marllink_admission::Shares;
+use marllink_affinity::Sizes;
 use marllink_knowledge::{Command, Event as Asked, Held, Silence, Verdict};
 use marllink_pacing::{Budget, Pace, Rate, Shortage, by_share, calls, relief, whole};
-use marllink_retries::Limiter;
+use marllink_retries::{Limiter, Ran};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use rand_xoshiro::rand_core::{Rng, SeedableRng};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -25,10 +26,10 @@
 const ZONE_CREDIT: f64 = 0.8;
 /// Rounds of draws when all that was drawn is unusable (just tried, or cold and out of budget).
 const ROUNDS: usize = 8;
-/// A group's first hosts are drawn with the others, and count as holding so many connections less, each by
-/// this factor less than the one before: what a group costs a host that holds any of it is told nowhere, and
-/// is worth some connections. More would fill the first before the others of its kind.
-const GROUP_FIRST: usize = 3;
+/// A group's hosts, as many as its share of all, are drawn with the others and count as holding so many
+/// connections less; of so many beyond those each counts by this factor less than the one before. What a group
+/// costs a host that holds any of it is told nowhere; more would fill the first before the others of its kind.
+const GROUP_MORE: usize = 2;
 const GROUP_CREDIT: f64 = 2.0;
 const GROUP_FADE: f64 = 0.7;
 /// So many times the draws that the paper asks for: own counts tie, and of more the order is truer.
@@ -157,14 +158,6 @@
     Over,
 }
 
-/// Where an attempt of a request that must not be repeated freely may have run.
-#[derive(Clone, Copy, Debug)]
-struct Ran {
-    at: Millis,
-    zone: ZoneId,
-    cell: CellId,
-}
-
 #[derive(Debug)]
 struct Pending {
     class: ClassId,
@@ -220,6 +213,8 @@
     retries: Limiter,
     burst: Rate,
     shares: Shares,
+    /// Connections seen by group.
+    groups: Sizes,
     variant: Variant,
     /// Own connections, a predecessor's among them.
     total: usize,
@@ -249,7 +244,8 @@
             silence: Silence::default(),
             retries: Limiter::new(variant.retries.clone(), settings.nodes, now),
             burst: Rate::new(BURST_TAU_MS, now),
-            shares: Shares::new(settings.quotas()),
+            shares: Shares::new(settings.quotas(), settings.nodes),
+            groups: Sizes::default(),
             variant,
             settings,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
@@ -298,7 +294,7 @@
             Event::Settings(settings) => {
                 self.slow_aim = settings.slow_aim();
                 self.retries.among(settings.nodes);
-                self.shares.retune(settings.quotas());
+                self.shares.retune(settings.quotas(), settings.nodes);
                 self.settings = settings;
             }
             Event::TakeOver(knowledge) => self.take_over(knowledge),
@@ -584,7 +580,7 @@
         let prefers = self.settings.prices.cross_zone > 0.0;
         let draws = MARGIN * self.draws * if prefers { usize::from(self.settings.zones.max(1)) } else { 1 };
         let (mut seen, mut drawn) = (Vec::new(), Vec::<(f64, usize)>::new());
-        let first = self.group_first(pending.group);
+        let (first, wide) = self.group_first(pending.group);
         for round in 0..ROUNDS {
             for nth in 0..draws + first.len() {
                 let Some(slot) = first.get(nth).copied().or_else(|| self.draw()) else { return Vec::new() };
@@ -595,8 +591,9 @@
                 seen.push(slot);
                 if self.may_run_on(pending, slot) && !self.full(slot) && self.cold_allows(slot) {
                     let known = first.iter().position(|host| *host == slot);
-                    let credit = known.map_or(0.0, |at| GROUP_CREDIT * GROUP_FADE.powi(at as i32))
-                        + if prefers { self.zone_credit(slot) } else { 0.0 };
+                    let credit = known.map_or(0.0, |at| {
+                        GROUP_CREDIT * GROUP_FADE.powi((at + 1).saturating_sub(wide) as i32)
+                    }) + if prefers { self.zone_credit(slot) } else { 0.0 };
                     let mute = self.reports.mute(self.now, self.servers[slot].id);
                     drawn.push((self.load(slot) + if mute { MUTE } else { -credit }, slot));
                 }
@@ -607,21 +604,23 @@
         }
         let least = drawn.iter().map(|d| d.0).fold(f64::INFINITY, f64::min);
         drawn.retain(|d| d.0 == least);
-        if pending.group != 0 {
-            // All nodes break a group's ties alike, without a word between them.
-            let of = |d: &(f64, usize)| (self.servers[d.1].id.0, self.servers[d.1].weight, d.1);
-            return marllink_affinity::first(pending.group, drawn.iter().map(of), 1);
-        }
-        let weights: Vec<_> = drawn.iter().map(|d| self.servers[d.1].weight).collect();
+        // The order of a group's hosts goes by weight already.
+        let weight = |d: &(f64, usize)| if pending.group == 0 { self.servers[d.1].weight } else { 1.0 };
+        let weights: Vec<_> = drawn.iter().map(weight).collect();
         // One that is chosen twice stays so: it is asked once, and has two chances.
         (0..ASKED).filter_map(|_| by_share(&weights, self.uniform())).map(|at| drawn[at].1).collect()
     }
 
-    /// The hosts where a group goes first, as all nodes find them; none for no group.
-    fn group_first(&self, group: u64) -> Vec<usize> {
-        let most = if group == 0 { 0 } else { GROUP_FIRST };
+    /// The hosts where a group goes first, in the order in which all nodes find them, and how many of them are
+    /// for its share; none for no group.
+    fn group_first(&mut self, group: u64) -> (Vec<usize>, usize) {
+        if group == 0 {
+            return (Vec::new(), 0);
+        }
+        let uniform = self.uniform();
+        let wide = self.groups.width(group, self.pickable.len(), uniform);
         let of = |slot: &usize| (self.servers[*slot].id.0, self.servers[*slot].weight, *slot);
-        marllink_affinity::first(group, self.pickable.iter().map(of), most)
+        (marllink_affinity::first(group, self.pickable.iter().map(of), wide + GROUP_MORE), wide)
     }
 
     /// The pick among them: by chance in proportion to the square of the room that they have. The one with
@@ -734,7 +733,8 @@
         let slot = pending.slot;
         let server = &mut self.servers[slot];
         let excess = server.track.strain.note(self.now, delay_ms, self.slow_aim, f64::from(server.open));
-        self.move_some(slot, excess, out);
+        let planted = self.variant.plant == Some(Plant::MoveWhenAllSlow);
+        self.move_some(slot, if planted { excess / marllink_relief::MOVED_SHARE } else { excess }, out);
     }
 
     /// True if a server must take nothing new: messages on it are slow, or it is at its limit.
@@ -968,6 +968,7 @@
             return;
         }
         let pending = self.pending(new, NOWHERE);
+        self.groups.seen(pending.group);
         self.retries.first(self.now);
         self.attempt(new.request, pending, out);
     }
@@ -1011,6 +1012,7 @@
         };
         let (phase, deadline, attempts) = (Phase::Open, f64::INFINITY, 1);
         let pending = Pending { phase, deadline, attempts, ..self.pending(new, slot) };
+        self.groups.seen(pending.group);
         self.add_open(slot, 1);
         self.servers[slot].connections.push(new.request);
         self.shares.opened(new.tenant.0);
@@ -1018,24 +1020,10 @@
         self.requests.insert(new.request, pending);
     }
 
-    /// May there be another attempt at all without any effect happening twice?
-    fn may_repeat(&self, pending: &Pending) -> bool {
-        match (pending.ran, self.effect(pending.class)) {
-            (None, _) | (_, Effect::Safe) => true,
-            (_, Effect::Unsafe) => false,
-            (Some(ran), Effect::Keyed { window_ms, .. }) => self.now - ran.at < window_ms,
-        }
-    }
-
     /// May the next attempt go to this server?
     fn may_run_on(&self, pending: &Pending, slot: usize) -> bool {
         let server = &self.servers[slot];
-        self.may_repeat(pending)
-            && match (pending.ran, self.effect(pending.class)) {
-                (Some(ran), Effect::Keyed { scope: KeyScope::Zone, .. }) => server.zone == ran.zone,
-                (Some(ran), Effect::Keyed { scope: KeyScope::Cell, .. }) => server.cell == ran.cell,
-                _ => true,
-            }
+        self.effect(pending.class).may_run_on(self.now, pending.ran, server.zone.0, server.cell.0)
     }
 
     /// Draws servers for the next attempt and asks for their load, or holds the request, or gives its
@@ -1043,7 +1031,9 @@
     fn attempt(&mut self, id: RequestId, mut pending: Pending, out: &mut Vec<Action>) {
         let (left, uniform) = (pending.deadline - self.now, self.uniform());
         let tries_left = self.settings.limits.max_attempts.saturating_sub(pending.attempts);
-        let over = left < LEAST_LEFT_MS || tries_left == 0 || !self.may_repeat(&pending);
+        let over = left < LEAST_LEFT_MS
+            || tries_left == 0
+            || !self.effect(pending.class).may_repeat(self.now, pending.ran);
         let above = self.shares.refuses(self.now, pending.tenant.0);
         if over || above || self.throttled(&pending) || self.fleet.shortage.full(self.total, uniform) {
             self.answer(id, &pending, out);
@@ -1125,11 +1115,7 @@
     fn answer(&mut self, id: RequestId, pending: &Pending, out: &mut Vec<Action>) {
         self.requests.remove(&id);
         self.blame(&pending.erred, false);
-        let harmless = match self.effect(pending.class) {
-            Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => pending.ran.is_none(),
-        };
-        out.push(if harmless {
+        out.push(if self.effect(pending.class).harmless(pending.ran) {
             Action::Refuse { request: id, retry_after_ms: self.retry_after() }
         } else {
             Action::Fail(id)
@@ -1231,7 +1217,7 @@
         }
         if !outcome.never_ran() && pending.ran.is_none() {
             let server = &self.servers[slot];
-            pending.ran = Some(Ran { at: pending.sent_at, zone: server.zone, cell: server.cell });
+            pending.ran = Some(Ran { at: pending.sent_at, zone: server.zone.0, cell: server.cell.0 });
         }
         if pending.phase == Phase::Open && outcome != Outcome::Ok {
             // A broken stream has ended for its client; nothing may follow it.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,6 +6,7 @@
 pub use marllink_knowledge::Sign;
 use marllink_pacing::{Budget, Rate, Shortage};
 pub use marllink_relief::Strain;
+pub use marllink_retries::{Effect, KeyScope};
 use serde::{Deserialize, Serialize};
 
 /// Milliseconds, as a point on the node's monotonic clock or as a span.
@@ -42,34 +43,6 @@
     CellId(u16);
 }
 
-/// May a request run more than once?
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Effect {
-    /// Repeating it is harmless.
-    #[default]
-    Safe,
-    /// Servers within `scope` drop repeats for `window_ms` after the first that may have run.
-    Keyed {
-        /// Which servers drop each other's repeats.
-        scope: KeyScope,
-        /// For how long they do.
-        window_ms: Millis,
-    },
-    /// It must not run twice.
-    Unsafe,
-}
-
-/// The servers among which a keyed request's repeats are dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KeyScope {
-    /// All servers.
-    All,
-    /// The servers of one zone.
-    Zone,
-    /// The servers of one cell.
-    Cell,
-}
-
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
