--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -34,10 +34,14 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Check an operators' file and the files that it names.
+    /// Check an operators' file and the files that it names; or a balancer's configuration, and say which parts
+    /// of the decisions are in force under it, and which are off and why.
     Check {
         /// The file.
         file: PathBuf,
+        /// Print the parts as JSON.
+        #[arg(long)]
+        json: bool,
     },
     /// Print the JSON schema of the operators' file.
     Schema,
@@ -73,7 +77,7 @@
             let json_log = matches!(cli.log_format, LogFormat::Json);
             return serve(&Options { operators: cli.operators, json_log });
         }
-        Some(Command::Check { file }) => check(&file),
+        Some(Command::Check { file, json }) => check(&file, json),
         Some(Command::Schema) => Ok(format!("{:#}", marllink_config::schema())),
         Some(Command::Token { command: TokenCommand::Inspect { token, keys } }) => inspect(&token, &keys),
         Some(Command::Completions { shell }) => {
@@ -93,10 +97,32 @@
     }
 }
 
-fn check(file: &Path) -> Result<String, String> {
+fn check(file: &Path, json: bool) -> Result<String, String> {
+    let name = file.display();
+    let text = std::fs::read(file).map_err(|e| format!("{name}: {e}"))?;
+    // An operators' file has no settings; what is no JSON at all is told of as one.
+    let value = serde_json::from_slice::<serde_json::Value>(&text).unwrap_or_default();
+    if value.get("settings").is_some() {
+        return check_configuration(&name.to_string(), &text, json);
+    }
     let features = features::load(Some(file))?;
     let on = if features.operators.sessions.is_some() { "sessions on" } else { "nothing switched on" };
-    Ok(format!("{}: sound, {on}", file.display()))
+    Ok(format!("{name}: sound, {on}"))
+}
+
+/// What a balancer's configuration puts in force. The whole file is checked as at a start.
+fn check_configuration(name: &str, text: &[u8], json: bool) -> Result<String, String> {
+    let named = |variable: &str| (variable == "NODE_CONFIG").then(|| name.to_owned());
+    let config = crate::operations::config::load(named, |_| Ok(text.to_vec()))?;
+    let parts = marllink_settings::parts(&config.settings);
+    if json {
+        return serde_json::to_string_pretty(&parts).map_err(|e| e.to_string());
+    }
+    let widest = parts.iter().map(|part| part.name.len()).max().unwrap_or_default();
+    let line = |part: &marllink_settings::Part| {
+        format!("\n{:widest$}  {:3}  {}", part.name, if part.on { "on" } else { "off" }, part.why)
+    };
+    Ok(format!("{name}: sound") + &parts.iter().map(line).collect::<String>())
 }
 
 fn inspect(text: &str, keys: &Path) -> Result<String, String> {
@@ -122,6 +148,21 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_configuration_is_told_by_its_parts_and_a_wrong_one_by_what_is_wrong() {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/config.json");
+        let table = check(&path, false).expect("the example is sound");
+        assert!(table.lines().any(|line| line.starts_with("groups ") && line.contains("  off  ")), "{table}");
+        let json = check(&path, true).expect("the example is sound");
+        let parts: Vec<serde_json::Value> = serde_json::from_str(&json).expect("JSON");
+        assert!(parts.iter().any(|part| part["name"] == "list" && part["on"] == true), "{json}");
+        let text = std::fs::read_to_string(&path).expect("it is there");
+        let wrong = text.replace("\"maxAttempts\"", "\"attempts\"");
+        let message =
+            check_configuration("config.json", wrong.as_bytes(), false).expect_err("a key is missing");
+        assert!(message.contains("maxAttempts"), "{message}");
+    }
+
     #[test]
     fn the_command_line_is_sound() {
         Cli::command().debug_assert();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,6 +3,10 @@
 //! The simulator's first message and a real balancer's configuration hold the same object, so it
 //! is read here, once for both.
 
+mod parts;
+
+pub use parts::{Part, parts};
+
 use marllink::{
     Class, Discovery, Effect, KeyScope, Limits, NodeId, Prices, ReportField, Rules, Settings, Tenant, ZoneId,
 };
@@ -396,6 +400,52 @@
         assert_eq!(number(&back), [Some(0), Some(1), None]);
     }
 
+    #[test]
+    fn each_part_is_on_by_its_own_key_and_says_why_it_is_off() {
+        let on = |value: &Value| {
+            let parts = parts(&from_value(value.clone()).expect("it is sound"));
+            assert!(parts.iter().all(|part| !part.why.is_empty()), "{parts:?}");
+            parts.into_iter().filter(|part| part.on).map(|part| part.name).collect::<Vec<_>>()
+        };
+        let plain = settings();
+        let usual = ["list", "bound by the mean", "cold form hosts", "repeated attempts"];
+        assert_eq!(on(&plain), usual);
+        let with = |pointer: &str, value: Value| {
+            let mut all = plain.clone();
+            let (object, key) = pointer.rsplit_once('/').expect("a path");
+            all.pointer_mut(object)
+                .and_then(Value::as_object_mut)
+                .expect("an object")
+                .insert(key.into(), value);
+            let now = on(&all);
+            let gained = now.iter().filter(|name| !usual.contains(name)).copied().collect::<Vec<_>>();
+            let lost = usual.iter().filter(|name| !now.contains(name)).copied().collect::<Vec<_>>();
+            (gained, lost)
+        };
+        assert_eq!(with("/specifics", json!({"groups": true})), (vec!["groups"], vec![]));
+        let aims = json!({"messageAimMs": [100.0, 60.0]});
+        assert_eq!(with("/specifics", aims), (vec!["slow messages", "slow set-ups"], vec![]));
+        let quotas = json!({"tenantQuotaConnections": [30.0, 20.0]});
+        assert_eq!(with("/specifics", quotas.clone()), (vec![], vec![]), "no tenant is named");
+        let mut tenants = plain.clone();
+        tenants["accounts"] = json!([{"name": "a"}, {"name": "b"}]);
+        tenants["specifics"] = quotas;
+        assert!(on(&tenants).contains(&"tenants' shares"));
+        assert_eq!(with("/prices", json!({"crossZone": 0.1})), (vec!["own zone first"], vec![]));
+        assert_eq!(with("/bounds/retryAfter", true.into()), (vec!["advice to come again"], vec![]));
+        assert_eq!(with("/bounds/mayCancel", true.into()), (vec!["cancelled attempts"], vec![]));
+        assert_eq!(with("/bounds/maxAttempts", 1.into()), (vec![], vec!["repeated attempts"]));
+        assert_eq!(with("/invariants/coldFrom", 1.0.into()), (vec![], vec!["cold form hosts"]));
+        assert_eq!(with("/bounds/mayProbe", true.into()), (vec![], vec![]), "probed, and nothing reported");
+        let mut reports = plain.clone();
+        reports["bounds"]["mayProbe"] = true.into();
+        reports["loadReport"] = json!({"fields": ["x0"], "how": "probe"});
+        assert_eq!(
+            on(&reports),
+            ["list", "reports", "relief by load", "cold form hosts", "repeated attempts"]
+        );
+    }
+
     #[test]
     fn a_file_that_lacks_any_key_or_has_a_figure_that_is_not_sound_is_refused() {
         fn leaves(value: &Value, at: &str, all: &mut Vec<(String, String)>) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -749,7 +749,7 @@
     }
 
     fn may_ask(&self) -> bool {
-        self.settings.limits.probe && self.settings.report_fields.contains(&ReportField::Utilization)
+        self.settings.reports_load()
     }
 
     /// Asks servers with own connections for their load though no pick is due, as far as set-ups pay
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -207,8 +207,15 @@
         self.tenants.iter().map(|t| t.quota_connections).collect()
     }
 
+    /// True if servers may be asked for their load over what they can do, and say it.
+    #[must_use]
+    pub fn reports_load(&self) -> bool {
+        self.limits.probe && self.report_fields.contains(&ReportField::Utilization)
+    }
+
     /// The strictest aim for a message; infinite where there is none.
-    pub(crate) fn slow_aim(&self) -> Millis {
+    #[must_use]
+    pub fn slow_aim(&self) -> Millis {
         let aims = self.classes.iter().map(|c| c.message_aim_ms).filter(|a| *a > 0.0);
         aims.fold(f64::INFINITY, f64::min)
     }
