Run the real daemon on a seeded sample of kinds of deployments between plain stand-ins

Need: tests knew two deployments; what assumes reports, five attempts or one way to learn the list shows only on others.

Each rule of the judge is broken by its own fault in a unit test.

--- /dev/null
+++ b/emulator/src/platform/rules.rs
@@ -0,0 +1,195 @@
+//! The rules of the platform's protocol, read from what stand-ins wrote down and from nothing else.
+
+use super::{Note, State};
+use crate::model::Millis;
+use std::collections::BTreeMap;
+
+/// Time limits hold to so many ms.
+const SLACK_MS: Millis = 50.0;
+
+/// The figures of a deployment's rules.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    /// Attempts for a request at most.
+    pub attempts: usize,
+    /// A form host may be sent to for so many ms after it was told as draining or gone.
+    pub grace_ms: Millis,
+    /// `BUSY` may say when to come again, up to so many ms; `None` where it may not.
+    pub advice_ms: Option<Millis>,
+}
+
+/// What was found. Faults of safety hold on any machine; late ones may be the machine's.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Found {
+    /// Requests, and how many of them were served.
+    pub asked: usize,
+    /// As above.
+    pub served: usize,
+    /// Attempts that came to form hosts.
+    pub sent: usize,
+    /// Rules of safety that were broken, in words.
+    pub broken: Vec<String>,
+    /// Bounds on time that were exceeded, in words.
+    pub late: Vec<String>,
+}
+
+#[derive(Default)]
+struct Request {
+    asked: Option<(Millis, Millis)>,
+    answers: Vec<(Millis, String)>,
+    sent: usize,
+    out: Option<usize>,
+    receipts: Vec<String>,
+}
+
+/// Judges a run. The clients' waits are bounds on time; so is the grace of a drain.
+#[must_use]
+pub fn judge(notes: &[(Millis, Note)], rules: &Rules) -> Found {
+    let mut found = Found::default();
+    let mut requests = BTreeMap::<u64, Request>::new();
+    let mut told = BTreeMap::<usize, Millis>::new();
+    for (at, note) in notes {
+        match note {
+            Note::Asked { id, wait_ms } => requests.entry(*id).or_default().asked = Some((*at, *wait_ms)),
+            Note::Answered { id, line } => requests.entry(*id).or_default().answers.push((*at, line.clone())),
+            Note::Receipt { id, receipt } => requests.entry(*id).or_default().receipts.push(receipt.clone()),
+            Note::Told { host, state: State::Serving } => _ = told.remove(host),
+            // Told again it stays told from the first time.
+            Note::Told { host, .. } => _ = told.entry(*host).or_insert(*at),
+            Note::Sent { id, host, since, wait_ms } => {
+                found.sent += 1;
+                let request = requests.entry(*id).or_default();
+                request.sent += 1;
+                if let Some(other) = request.out.replace(*host) {
+                    found.broken.push(format!(
+                        "{id:x}: two attempts at once, at hosts {other} and {host}, {at:.0} ms"
+                    ));
+                }
+                if request.sent > rules.attempts {
+                    found.broken.push(format!("{id:x}: more than {} attempts, {at:.0} ms", rules.attempts));
+                }
+                match request.asked {
+                    None => found.broken.push(format!("{id:x}: sent and never asked for, {at:.0} ms")),
+                    Some((_, wait)) if *wait_ms > wait => {
+                        found.broken.push(format!("{id:x}: says {wait_ms} ms where the client waits {wait}"));
+                    }
+                    Some(_) => {}
+                }
+                if let Some(drained) = told.get(host).filter(|told| since - *told > rules.grace_ms + SLACK_MS)
+                {
+                    found.broken.push(format!(
+                        "{id:x}: host {host} was told as leaving at {drained:.0} ms and sent to at {since:.0} ms"
+                    ));
+                }
+            }
+            Note::Over { id, host, .. } => {
+                let request = requests.entry(*id).or_default();
+                request.out = request.out.filter(|out| out != host);
+            }
+        }
+    }
+    for (id, request) in &requests {
+        let Some((asked, wait)) = request.asked else { continue };
+        found.asked += 1;
+        let Some((at, line)) = request.answers.first() else {
+            found.broken.push(format!("{id:x}: no answer"));
+            continue;
+        };
+        if request.answers.len() > 1 {
+            found.broken.push(format!("{id:x}: {} answers", request.answers.len()));
+        }
+        if at - asked > wait + SLACK_MS {
+            found.late.push(format!("{id:x}: answered after {:.0} ms, waits {wait:.0}", at - asked));
+        }
+        let wrong = match line.split_once(' ') {
+            Some(("UP", receipt)) => {
+                found.served += 1;
+                !request.receipts.iter().any(|given| given == receipt)
+            }
+            Some(("BUSY", ms)) => {
+                let ms = ms.parse::<f64>().unwrap_or(f64::INFINITY);
+                rules.advice_ms.is_none_or(|most| ms > most)
+            }
+            // Without a word the balancer has lost it.
+            _ => line == "(end)",
+        };
+        if wrong {
+            found.broken.push(format!("{id:x}: answered \"{line}\", which nobody gave or may give"));
+        }
+    }
+    found
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const RULES: Rules = Rules { attempts: 2, grace_ms: 500.0, advice_ms: None };
+
+    fn sent(id: u64, host: usize, since: Millis) -> (Millis, Note) {
+        (since + 1.0, Note::Sent { id, host, since, wait_ms: 900.0 })
+    }
+
+    fn over(at: Millis, id: u64, host: usize) -> (Millis, Note) {
+        (at, Note::Over { id, host, how: "BUSY".into() })
+    }
+
+    fn asked(id: u64) -> (Millis, Note) {
+        (0.0, Note::Asked { id, wait_ms: 1_000.0 })
+    }
+
+    fn answered(at: Millis, id: u64, line: &str) -> (Millis, Note) {
+        (at, Note::Answered { id, line: line.into() })
+    }
+
+    fn broken(notes: &[(Millis, Note)]) -> String {
+        judge(notes, &RULES).broken.join("; ")
+    }
+
+    #[test]
+    fn a_sound_request_is_found_sound() {
+        let receipt = (30.0, Note::Receipt { id: 1, receipt: "9".into() });
+        let notes =
+            [asked(1), sent(1, 0, 1.0), over(5.0, 1, 0), sent(1, 1, 8.0), receipt, answered(31.0, 1, "UP 9")];
+        let found = judge(&notes, &RULES);
+        assert_eq!((found.asked, found.served, found.sent), (1, 1, 2));
+        assert!(found.broken.is_empty() && found.late.is_empty(), "{found:?}");
+    }
+
+    #[test]
+    fn each_rule_is_found_broken_by_its_own_fault() {
+        let end = answered(40.0, 1, "BUSY");
+        let two = [asked(1), sent(1, 0, 1.0), sent(1, 1, 2.0), over(3.0, 1, 0), over(4.0, 1, 1), end.clone()];
+        assert!(broken(&two).contains("two attempts at once"));
+        let again = |host| [sent(1, host, 1.0), over(2.0, 1, host)];
+        let mut many = vec![asked(1)];
+        (0..3).for_each(|host| many.extend(again(host)));
+        many.push(end.clone());
+        assert!(broken(&many).contains("more than 2 attempts"));
+        assert!(broken(&[asked(1)]).contains("no answer"));
+        assert!(broken(&[asked(1), end.clone(), end.clone()]).contains("2 answers"));
+        assert!(broken(&[asked(1), answered(9.0, 1, "(end)")]).contains("(end)"));
+        assert!(broken(&[asked(1), answered(9.0, 1, "UP 7")]).contains("UP 7"));
+        assert!(broken(&[asked(1), answered(9.0, 1, "BUSY 200")]).contains("BUSY 200"));
+        assert!(broken(&[sent(5, 0, 1.0)]).contains("never asked for"));
+        let told = (100.0, Note::Told { host: 0, state: State::Draining });
+        let after = |since| [asked(1), told.clone(), sent(1, 0, since), over(900.0, 1, 0), end.clone()];
+        assert!(broken(&after(651.0)).contains("told as leaving"));
+        assert_eq!(broken(&after(649.0)), "");
+        assert_eq!(judge(&[asked(1), answered(1_051.0, 1, "BUSY")], &RULES).late.len(), 1);
+    }
+
+    #[test]
+    fn a_host_that_serves_again_may_be_sent_to() {
+        let told = |at, state| (at, Note::Told { host: 0, state });
+        let notes = [
+            asked(1),
+            told(10.0, State::Deleted),
+            told(20.0, State::Serving),
+            sent(1, 0, 900.0),
+            over(901.0, 1, 0),
+            answered(902.0, 1, "BUSY"),
+        ];
+        assert_eq!(broken(&notes), "");
+    }
+}
--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -268,7 +268,10 @@
 }
 
 /// An address that is free now.
-fn free() -> io::Result<SocketAddr> {
+///
+/// # Errors
+/// Fails if there is none.
+pub fn free() -> io::Result<SocketAddr> {
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
 }
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `marllink-lab`: experiments with the real daemon between stand-ins.
 
 mod balancers;
+mod deployments;
 mod experiment;
 mod matrix;
 mod results;
@@ -68,6 +69,22 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Run the real daemon between stand-ins on a sample of kinds of deployments, some seconds each, and exit with
+    /// 0 only if no rule of the protocol was broken on any.
+    Deployments {
+        /// The number of the first.
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+        /// How many.
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u64).range(1..=200))]
+        count: u64,
+        /// Plant a fault that must be found: discovery notes drains as told and keeps them to itself.
+        #[arg(long)]
+        plant_untold: bool,
+        /// Where the daemons' folders go.
+        #[arg(long, value_name = "FOLDER", default_value = "target/lab")]
+        out: PathBuf,
+    },
     /// Print the JSON schema of experiment files, or of matrix files.
     Schema {
         /// Of which.
@@ -101,6 +118,9 @@
             println!("{schema:#}");
             Ok(true)
         }
+        Command::Deployments { first, count, plant_untold, out } => balancers::folder(&out, "deployments")
+            .map_err(|e| e.to_string())
+            .and_then(|folder| deployments::sample(first, count, &folder, plant_untold)),
         Command::Model { file, plant, seeds, day, out, quiet } => {
             model(&file, plant, seeds, day, &out, quiet)
         }
