--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -145,6 +145,9 @@
         share: f64,
         /// After that long.
         back_after_s: f64,
+        /// What list they find at their start.
+        #[serde(default)]
+        list: Known,
     },
     /// All balancers are restarted by SIGTERM, a part each time.
     RestartBalancers {
@@ -242,6 +245,19 @@
     },
 }
 
+/// What list of hosts a balancer finds at its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Known {
+    /// As it is at that moment.
+    #[default]
+    Fresh,
+    /// As it was when the day began: with hosts that have drained and gone since.
+    Old,
+    /// None.
+    Nothing,
+}
+
 /// How balancers decide.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -330,8 +346,16 @@
     Calls,
     /// Largest part of the moves within 30 s that fell into one 200 ms.
     MovedAtOnce,
+    /// Attempts sent to hosts that drain or are gone, told or not, for each first try.
+    Stale,
     /// Refusals for each first try.
     Refused,
+    /// Seconds from the day's last fault until service is full again; the rest of the day where it never is.
+    Back,
+    /// Calls to the list service in the worst second, for each balancer.
+    CallsWorst,
+    /// Set-ups asked of hosts in the worst second after the last fault, over the mean of the seconds that follow.
+    Wave,
     /// Median ms from a client's try to its connection.
     WaitMedian,
     /// The same, which one of a hundred exceeds.
--- a/fleet/src/drive.rs
+++ b/fleet/src/drive.rs
@@ -1,7 +1,7 @@
 //! One balancer of the fleet: the decisions, and what is known of it from outside.
 
 use crate::Millis;
-use crate::day::Strategy;
+use crate::day::{Known, Strategy};
 use crate::plain::{Plain, Truth};
 use marllink::{Action, Balancer, Event, ServerId, Settings};
 use rustc_hash::FxHashMap;
@@ -58,4 +58,6 @@
     pub told: FxHashMap<ServerId, Millis>,
     /// It has had SIGTERM.
     pub leaving: bool,
+    /// What list it finds at its next start.
+    pub known: Known,
 }
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -3,6 +3,7 @@
 use crate::Millis;
 use crate::day::Figure;
 use crate::figures::Figures;
+use crate::service;
 use hdrhistogram::Histogram;
 
 /// Rules broken that are told in words; the others are only counted.
@@ -20,6 +21,9 @@
     served: f64,
     stood: f64,
     vain: f64,
+    refused: f64,
+    sent: f64,
+    calls: f64,
 }
 
 /// The book.
@@ -38,15 +42,17 @@
     pub first: f64,
     /// All tries of clients, and attempts sent for them.
     pub tries: f64,
-    pub sent: f64,
+    sent: f64,
     pub dropped: f64,
     pub crossed: f64,
+    /// Attempts sent to hosts that drain or are gone.
+    pub stale: f64,
     pub probes: f64,
     pub stood: f64,
-    pub refused: f64,
+    refused: f64,
     pub moves: f64,
     /// Calls to the list service.
-    pub calls: f64,
+    calls: f64,
     pub cold_over: f64,
     broken: Vec<String>,
     breaches: f64,
@@ -67,6 +73,7 @@
             sent: 0.0,
             dropped: 0.0,
             crossed: 0.0,
+            stale: 0.0,
             probes: 0.0,
             stood: 0.0,
             refused: 0.0,
@@ -106,6 +113,24 @@
         self.waits.saturating_record(waited.max(1.0) as u64);
     }
 
+    /// An attempt was sent.
+    pub fn sent(&mut self, now: Millis) {
+        self.sent += 1.0;
+        self.second(now).sent += 1.0;
+    }
+
+    /// A client was refused.
+    pub fn refused(&mut self, now: Millis) {
+        self.refused += 1.0;
+        self.second(now).refused += 1.0;
+    }
+
+    /// The list service was called.
+    pub fn called(&mut self, now: Millis) {
+        self.calls += 1.0;
+        self.second(now).calls += 1.0;
+    }
+
     /// An attempt came to nothing, or a host dropped its connection.
     pub fn vain(&mut self, now: Millis) {
         self.second(now).vain += 1.0;
@@ -133,6 +158,7 @@
         balancers: usize,
         prices: &marllink::Prices,
         waste: f64,
+        last_fault_s: Option<f64>,
     ) -> Figures {
         let sum = |of: fn(&Second) -> f64| self.seconds.iter().map(of).sum::<f64>();
         let share = |part: f64, of: f64| if of > 0.0 { part / of } else { 0.0 };
@@ -155,6 +181,14 @@
             let (most, all) = (w.iter().max().copied().unwrap_or(0), w.iter().sum::<u32>());
             share(f64::from(most), f64::from(all.max(30)))
         });
+        let counted = |s: &Second| service::Second { served: share(s.served, s.wanted), refused: s.refused };
+        let by_second: Vec<_> = self.seconds.iter().map(counted).collect();
+        let (fault, last) = (last_fault_s.unwrap_or(0.0) as usize, by_second.len().saturating_sub(1));
+        let never = || if last_fault_s.is_some() { last.saturating_sub(fault) } else { 0 };
+        // The last second is not whole.
+        let back = service::back_after(&by_second[..last], fault).unwrap_or_else(never) as f64;
+        let calls_worst = self.seconds.iter().map(|s| s.calls).fold(0.0, f64::max);
+        let wave = wave(&self.seconds[fault.min(last)..last]);
         let values = [
             (Figure::Served, served),
             (Figure::Net, served - price - prices.late_fail * (1.0 - served)),
@@ -170,7 +204,11 @@
             (Figure::Moves, self.moves / first),
             (Figure::Calls, self.calls / balancers as f64),
             (Figure::MovedAtOnce, at_once.fold(0.0, f64::max)),
+            (Figure::Stale, self.stale / first),
             (Figure::Refused, self.refused / first),
+            (Figure::Back, back),
+            (Figure::CallsWorst, calls_worst / balancers as f64),
+            (Figure::Wave, wave),
             (Figure::WaitMedian, self.waits.value_at_quantile(0.5) as f64),
             (Figure::WaitTail, self.waits.value_at_quantile(0.99) as f64),
             (Figure::Broken, self.breaches),
@@ -193,3 +231,12 @@
         if all < 1.0 { 0.0 } else { by_size.values().map(error).fold(0.0, f64::max) }
     }
 }
+
+/// The worst second of these by attempts sent, over the mean of those after it; 0 if there are none.
+fn wave(seconds: &[Second]) -> f64 {
+    let worst = (0..seconds.len()).max_by(|a, b| seconds[*a].sent.total_cmp(&seconds[*b].sent));
+    let Some(worst) = worst else { return 0.0 };
+    let after = &seconds[worst + 1..];
+    let mean = after.iter().map(|s| s.sent).sum::<f64>() / after.len().max(1) as f64;
+    if mean > 0.0 { seconds[worst].sent / mean } else { 0.0 }
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -16,13 +16,15 @@
 mod ledger;
 mod plain;
 mod queue;
+mod service;
 mod setting;
 mod trouble;
 mod world;
 
-pub use day::{Bound, Comparison, Day, Fault, Figure, Fleet, Matrix, Shape, Strategy, What};
+pub use day::{Bound, Comparison, Day, Fault, Figure, Fleet, Known, Matrix, Shape, Strategy, What};
 pub use figures::{Figures, Interval};
 pub use kind::{Groups, Kind, Size, Sort, Tenant};
+pub use service::{Second, back_after};
 
 /// Milliseconds of virtual time.
 pub type Millis = f64;
--- a/fleet/src/setting.rs
+++ b/fleet/src/setting.rs
@@ -1,6 +1,6 @@
 //! The fleet that a day begins with: sizes, zones, shares of traffic, and what balancers are told.
 
-use crate::day::{Day, Shape};
+use crate::day::{Day, Known, Shape};
 use crate::drive::Node;
 use crate::kind::{Kind, Size, Sort};
 use marllink::{
@@ -121,6 +121,7 @@
             tries: Vec::new(),
             told: FxHashMap::default(),
             leaving: false,
+            known: Known::Fresh,
         })
         .collect()
 }
--- a/fleet/src/trouble.rs
+++ b/fleet/src/trouble.rs
@@ -49,8 +49,9 @@
                 }
             }
             What::Reconnect { share } => self.reconnect(share),
-            What::KillBalancers { share, back_after_s } => {
+            What::KillBalancers { share, back_after_s, list } => {
                 for node in self.some(self.nodes.len(), share) {
+                    self.nodes[node].known = list;
                     let spread = 400.0 * self.rng.random::<f64>();
                     self.kill(node, back_after_s * 1_000.0 + spread);
                 }
--- a/fleet/src/world.rs
+++ b/fleet/src/world.rs
@@ -300,7 +300,8 @@
         let offered = self.ledger.stood * self.classes.iter().map(|c| c.share * c.set_up_ms).sum::<f64>();
         let waste = 0.18 * self.waste_ms / offered.max(1.0) * 0.02;
         let prices = self.nodes[0].settings.prices.clone();
-        self.ledger.figures(&sizes, self.nodes.len(), &prices, waste)
+        let last_fault_s = self.day.faults.iter().map(|fault| fault.at_s).reduce(f64::max);
+        self.ledger.figures(&sizes, self.nodes.len(), &prices, waste, last_fault_s)
     }
 
     pub fn now(&self) -> Millis {
@@ -807,7 +808,7 @@
                 self.queue.after(0.0, Event::Ends { at, attempt, outcome });
             }
             Action::Refuse { request, retry_after_ms } => {
-                self.ledger.refused += 1.0;
+                self.ledger.refused(now);
                 self.answer(request.0 as usize, Gap::Refused(retry_after_ms));
             }
             Action::Fail(request) => {
@@ -835,7 +836,7 @@
                 }
             }
             Action::FetchList | Action::WatchList => {
-                self.ledger.calls += 1.0;
+                self.ledger.called(now);
                 let (ok, at) = match self.calls.call(now) {
                     Ok(at) => (true, at),
                     Err(at) => (false, at),
--- a/fleet/src/world/lives.rs
+++ b/fleet/src/world/lives.rs
@@ -1,6 +1,7 @@
 //! What balancers are told of the list, and how they start, are killed and are restarted.
 
 use super::*;
+use crate::day::Known;
 
 /// An agent on a balancer's own machine answers after so many ms.
 const AGENT_MS: Millis = 5.0;
@@ -80,7 +81,14 @@
         n.told.clear();
         let life = n.life;
         let entries: Vec<_> = (0..self.hosts.len()).map(|h| self.entry(h)).collect();
-        let entries = entries.into_iter().filter(|e| e.state != ServerState::Gone).collect();
+        let entries = match self.nodes[node].known {
+            Known::Fresh => entries.into_iter().filter(|e| e.state != ServerState::Gone).collect(),
+            Known::Old => {
+                let old = |e| ServerEntry { state: ServerState::Ready, started_at: 0.0, ..e };
+                entries.into_iter().map(old).collect()
+            }
+            Known::Nothing => Vec::new(),
+        };
         self.feed(node, In::ServerList { kind: ListKind::Cached, entries });
         if self.kind.pushed {
             // The network code opens the watch unasked, and the agent answers at once with all that it has.
--- a/fleet/src/world/network.rs
+++ b/fleet/src/world/network.rs
@@ -25,7 +25,8 @@
         if told.is_some_and(|told| now - told > self.kind.grace_ms) {
             self.ledger.breach(now, || format!("host {host} was sent a try long after it drained"));
         }
-        self.ledger.sent += 1.0;
+        self.ledger.sent(now);
+        self.ledger.stale += f64::from(u8::from(self.hosts[host].phase != Phase::Up));
         let attempt = self.tries[at].attempts;
         self.tries[at].attempts += 1;
         let most = self.kind.attempts;
--- a/fleet/tests/hard_cases.rs
+++ b/fleet/tests/hard_cases.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs, reason = "tests are named for what they show")]
 
 use marllink::{Plant, Variant};
-use marllink_fleet::{Day, Fault, Figure, Figures, Kind, Shape, Strategy, What, play};
+use marllink_fleet::{Day, Fault, Figure, Figures, Kind, Known, Shape, Strategy, What, play};
 
 fn shape() -> Shape {
     Shape {
@@ -51,7 +51,8 @@
 
 #[test]
 fn the_same_seed_gives_the_same_run_and_another_does_not() {
-    let day = day(0.4, vec![(5.0, What::KillBalancers { share: 0.5, back_after_s: 0.5 })]);
+    let day =
+        day(0.4, vec![(5.0, What::KillBalancers { share: 0.5, back_after_s: 0.5, list: Known::Fresh })]);
     let once = play(&shape(), &day, &Strategy::Marllink, 5);
     assert_eq!(once, play(&shape(), &day, &Strategy::Marllink, 5));
     assert_ne!(once.values, play(&shape(), &day, &Strategy::Marllink, 6).values);
@@ -87,7 +88,7 @@
 
 #[test]
 fn seven_of_ten_balancers_are_killed_in_one_instant() {
-    let herd = What::KillBalancers { share: 0.7, back_after_s: 0.5 };
+    let herd = What::KillBalancers { share: 0.7, back_after_s: 0.5, list: Known::Fresh };
     let runs = ours(&day(0.45, vec![(6.0, herd)]));
     assert!(mean(&runs, Figure::Worst) > 0.6, "{}", mean(&runs, Figure::Worst));
     assert!(mean(&runs, Figure::Dropped) < 0.1, "{}", mean(&runs, Figure::Dropped));
@@ -146,7 +147,7 @@
 
 #[test]
 fn a_list_service_that_refuses_three_of_four_calls_holds_nobody_up() {
-    let herd = What::KillBalancers { share: 0.7, back_after_s: 0.5 };
+    let herd = What::KillBalancers { share: 0.7, back_after_s: 0.5, list: Known::Fresh };
     let runs = ours(&day(0.4, vec![(5.0, What::BusyList { for_s: 12.0 }), (6.0, herd)]));
     assert!(mean(&runs, Figure::Served) > 0.85, "{}", mean(&runs, Figure::Served));
 }
@@ -168,7 +169,7 @@
     let fails = What::FailHosts { share: 1.0, rate: 0.9, for_s: 8.0 };
     worse(&day(0.4, vec![(5.0, fails)]), Plant::RetryStorm, Figure::Attempts, 1.5);
     let lost = What::LoseZone { zone: 1, for_s: 4.0 };
-    let herd = What::KillBalancers { share: 0.7, back_after_s: 0.3 };
+    let herd = What::KillBalancers { share: 0.7, back_after_s: 0.3, list: Known::Fresh };
     worse(&day(0.6, vec![(5.0, lost), (9.2, herd)]), Plant::ColdSum, Figure::ColdOver, 1.2);
 }
 
--- a/lab/src/matrix.rs
+++ b/lab/src/matrix.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Figures shown for each day and strategy, with their heads.
-const SHOWN: [(Figure, &str); 16] = [
+const SHOWN: [(Figure, &str); 20] = [
     (Figure::Served, "served"),
     (Figure::Net, "net"),
     (Figure::Worst, "worst 5s"),
@@ -24,6 +24,10 @@
     (Figure::Moves, "moves"),
     (Figure::MovedAtOnce, "at once"),
     (Figure::Refused, "refused"),
+    (Figure::Stale, "stale"),
+    (Figure::Back, "back s"),
+    (Figure::CallsWorst, "calls/s"),
+    (Figure::Wave, "wave"),
     (Figure::WaitTail, "wait99"),
 ];
 
