Believe an agent that was restarted and counts its versions from anew

Seen by the hard case of the issue, a list pushed with a lower version: after a watch that had told 45 ended, changes of version 3 and 4 on the next were passed over for ever, so a drain never bound. Cause: Discovery::take (node/src/membership/discovery.rs) takes a change only with a higher version than the list in hand, which guards a fetch answered late against the watch. Where lists are pushed there is one watch at a time and no fetch, and what the agent has counts as told; there all that comes is news. Asked lists are as before. Ruled out: whole lists of a lower version (taken already), the decisions (they see no version).

Tests: the restarted agent fails without the change; a drain pushed in the instant of an upgrade binds both processes.

--- a/node/src/membership/discovery.rs
+++ b/node/src/membership/discovery.rs
@@ -121,11 +121,13 @@
     }
 
     /// Passes a list on. Changes that are part of the list in hand are passed over: discovery may
-    /// answer a call that was made before a later one was answered.
+    /// answer a call that was made before a later one was answered. Where lists are pushed there is one watch at
+    /// a time and no other call, and an agent that was restarted may count its versions from anew: there all
+    /// that comes is news.
     fn take(&self, list: &List) {
         if list.all {
             self.tell(list, ListKind::Full);
-        } else if list.rev > self.rev.get() {
+        } else if self.pushed || list.rev > self.rev.get() {
             self.tell(list, ListKind::Delta);
         }
     }
--- a/node/tests/pushed.rs
+++ b/node/tests/pushed.rs
@@ -80,3 +80,45 @@
     staying.listener.set_nonblocking(false).expect("it listens");
     assert!(only(&node, &staying, &leaving), "a host that is gone was sent something");
 }
+
+#[test]
+fn an_agent_that_was_restarted_and_counts_from_anew_is_believed() {
+    let (first, second) = (Host::new("s-1"), Host::new("s-2"));
+    let mut node = Node::start_pushed(&[&first, &second]);
+    let (_, mut watch) = node.called();
+    begin_watch(&mut watch);
+    push(&mut watch, &list(45, false, &[first.entry("DRAINING")]));
+    node.logged("ServerList { kind: Delta");
+    drop(watch);
+    let (path, mut again) = node.called();
+    assert_eq!(path, AFTER_45);
+    begin_watch(&mut again);
+    // What it has counts as told, whatever the number.
+    push(&mut again, &list(3, false, &[first.entry("SERVING"), second.entry("DRAINING")]));
+    node.logged("ServerList { kind: Delta");
+    assert!(only(&node, &first, &second), "a draining host was sent something");
+}
+
+#[test]
+fn a_drain_that_is_pushed_in_the_instant_of_an_upgrade_binds_both_processes() {
+    let (leaving, staying) = (Host::new("s-1"), Host::new("s-2"));
+    let mut old = Node::start_pushed(&[&leaving, &staying]);
+    let (_, mut watch) = old.called();
+    begin_watch(&mut watch);
+    push(&mut watch, &list(45, false, &[leaving.entry("DRAINING")]));
+    let mut new = old.successor();
+    let (path, mut own) = new.called();
+    begin_watch(&mut own);
+    // It asks for what came after what it was given, be that with the push or without.
+    if path == AFTER_41 {
+        push(&mut own, &list(45, false, &[leaving.entry("DRAINING")]));
+        new.logged("ServerList { kind: Delta");
+    } else {
+        assert_eq!(path, AFTER_45);
+    }
+    assert!(only(&new, &staying, &leaving), "the successor sent something to a draining host");
+    new.signal("KILL");
+    new.ended();
+    old.logged("takes clients again");
+    assert!(only(&old, &staying, &leaving), "the old process sent something to a draining host");
+}
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -2,10 +2,11 @@
 #![allow(missing_docs, reason = "tests are named for what they show")]
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::time::Duration;
 
 /// Nothing that a test waits for takes so long.
@@ -145,7 +146,8 @@
     child: Child,
     listen: SocketAddr,
     admin: SocketAddr,
-    log: BufReader<std::process::ChildStderr>,
+    /// Its log by lines, as they come.
+    log: Receiver<String>,
     pub discovery: TcpListener,
     /// Its own; shared with its successor.
     tmp: std::rc::Rc<Tmp>,
@@ -225,7 +227,12 @@
             .stderr(Stdio::piped())
             .spawn()
             .expect("the balancer starts");
-        let log = BufReader::new(child.stderr.take().expect("it is piped"));
+        let stderr = BufReader::new(child.stderr.take().expect("it is piped"));
+        let (lines, log) = channel();
+        // Ends with the program's log, or with the test.
+        std::thread::spawn(move || {
+            stderr.lines().map_while(Result::ok).try_for_each(|line| lines.send(line).ok());
+        });
         let mut node = Self { child, listen, admin, log, discovery, tmp, opened: opened.into() };
         node.logged("listening");
         node
@@ -233,16 +240,19 @@
 
     /// Waits until the log says this, and gives the line.
     pub fn logged(&mut self, text: &str) -> String {
-        let mut line = String::new();
-        while !line.contains(text) {
-            line.clear();
-            assert!(
-                self.log.read_line(&mut line).expect("the log is text") > 0,
-                "the log ended without \"{text}\""
-            );
+        let until = std::time::Instant::now() + PATIENCE;
+        loop {
+            let left = until.saturating_duration_since(std::time::Instant::now());
+            let line = match self.log.recv_timeout(left) {
+                Ok(line) => line,
+                Err(RecvTimeoutError::Timeout) => panic!("the log has not said \"{text}\" in {PATIENCE:?}"),
+                Err(RecvTimeoutError::Disconnected) => panic!("the log ended without \"{text}\""),
+            };
             assert!(!line.contains("panicked"), "{line}");
+            if line.contains(text) {
+                return line;
+            }
         }
-        line
     }
 
     pub fn connect(&self) -> Peer {
@@ -322,7 +332,7 @@
     /// Waits for the end of the program.
     pub fn ended(&mut self) -> ExitStatus {
         // The log ends with the program.
-        self.log.read_to_end(&mut Vec::new()).expect("the log can be read");
+        self.log.iter().for_each(drop);
         self.child.wait().expect("it was started")
     }
 }
@@ -330,10 +340,10 @@
 impl Drop for Node {
     fn drop(&mut self) {
         let _ = (self.child.kill(), self.child.wait());
-        let mut log = String::new();
         // A task that panics takes only its own connection along; here no task may.
-        if self.log.read_to_string(&mut log).is_ok() && !std::thread::panicking() {
-            assert!(!log.contains("panicked"), "{log}");
+        let panic = self.log.iter().find(|line| line.contains("panicked"));
+        if !std::thread::panicking() {
+            assert_eq!(panic, None);
         }
     }
 }
