Drop what waits for an earlier attempt's form host before the next attempt of a session

By a trace of every call at the keepers: a balancer held 3.1 at a majority and granted its form host a lease; that host had been asked to let go meanwhile and turned it away; the next attempt went to another host under 3.2, all three keepers refused 3.2 as outbid by 4.1, and yet that host held under 3.2. Cause: lines for a form host lie in the request's pipe (exchange/pipe.rs, to_host), not in the attempt; the LEASE of the first attempt was still there, and the second host got it. Load only made the moment likelier.

Without sessions nothing changes. A test of the exchange alone is still to be written.

--- a/node/src/exchange/mod.rs
+++ b/node/src/exchange/mod.rs
@@ -671,6 +671,8 @@
         let session = entry.asks.is_some();
         drop(entries);
         let held_as = self.resume.as_ref().filter(|_| session).and_then(|resume| {
+            // What was meant for the form host of an earlier attempt, a lease above all, is not for this one.
+            drop(pipe.to_host.take());
             resume.feed(SessionEvent::Attempt { request: id, server });
             resume.held_as(id)
         });
