--- a/fleet/tests/hard_cases.rs
+++ b/fleet/tests/hard_cases.rs
@@ -1,8 +1,11 @@
 //! The hard cases of a large fleet whose balancers see little, each caused here without the bench.
 #![allow(missing_docs, reason = "tests are named for what they show")]
 
+mod support;
+
 use marllink::{Plant, Variant};
-use marllink_fleet::{Day, Fault, Figure, Figures, Kind, Known, Shape, Strategy, What, play};
+use marllink_fleet::{Day, Figure, Figures, Kind, Known, Shape, Strategy, What, play};
+use support::{day, mean};
 
 fn shape() -> Shape {
     Shape {
@@ -18,24 +21,6 @@
     }
 }
 
-fn day(load: f64, faults: Vec<(f64, What)>) -> Day {
-    let faults = faults.into_iter().map(|(at_s, what)| Fault { at_s, what }).collect();
-    Day {
-        name: "test".into(),
-        load,
-        zones: None,
-        traffic: Vec::new(),
-        hosts: Vec::new(),
-        faults,
-        fleet: None,
-        kind: None,
-    }
-}
-
-fn mean(runs: &[Figures], figure: Figure) -> f64 {
-    runs.iter().map(|run| run.values[&figure]).sum::<f64>() / runs.len() as f64
-}
-
 /// Plays it on three seeds. No rule may break whatever happens.
 fn run(shape: &Shape, day: &Day, strategy: &Strategy) -> Vec<Figures> {
     let runs: Vec<_> = (1..=3).map(|seed| play(shape, day, strategy, seed)).collect();
--- a/fleet/tests/second_kind.rs
+++ b/fleet/tests/second_kind.rs
@@ -1,8 +1,11 @@
 //! The hard cases of a deployment that pushes its lists, reports no load, and has groups and tenants.
 #![allow(missing_docs, reason = "tests are named for what they show")]
 
+mod support;
+
 use marllink::{Plant, Variant};
-use marllink_fleet::{Day, Fault, Figure, Figures, Fleet, Groups, Kind, Shape, Strategy, Tenant, What, play};
+use marllink_fleet::{Day, Figure, Figures, Fleet, Groups, Kind, Shape, Strategy, Tenant, What, play};
+use support::{day, mean};
 
 fn kind() -> Kind {
     Kind {
@@ -35,28 +38,10 @@
     }
 }
 
-fn day(load: f64, faults: Vec<(f64, What)>) -> Day {
-    let faults = faults.into_iter().map(|(at_s, what)| Fault { at_s, what }).collect();
-    Day {
-        name: "test".into(),
-        load,
-        zones: None,
-        traffic: Vec::new(),
-        hosts: Vec::new(),
-        faults,
-        fleet: None,
-        kind: None,
-    }
-}
-
 fn planted(plant: Plant) -> Strategy {
     Strategy::Marllink.planted(plant)
 }
 
-fn mean(runs: &[Figures], figure: Figure) -> f64 {
-    runs.iter().map(|run| run.values[&figure]).sum::<f64>() / runs.len() as f64
-}
-
 /// Plays it on four seeds. No rule may break whatever happens.
 fn ours(shape: &Shape, day: &Day, strategy: &Strategy) -> Vec<Figures> {
     let runs: Vec<_> = (1..=4).map(|seed| play(shape, day, strategy, seed)).collect();
