--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,8 +27,8 @@
 /// Rounds of draws when all that was drawn is unusable (just tried, or cold and out of budget).
 const ROUNDS: usize = 8;
 /// A group's hosts, as many as its share of all, are drawn with the others and count as holding so many
-/// connections less; of so many beyond those each counts by this factor less than the one before. What a group
-/// costs a host that holds any of it is told nowhere; more would fill the first before the others of its kind.
+/// connections less; of so many beyond those each counts by this factor less than the one before. What a
+/// group costs a host that holds any is told nowhere; more would fill the first before others of its kind.
 const GROUP_MORE: usize = 2;
 const GROUP_CREDIT: f64 = 2.0;
 const GROUP_FADE: f64 = 0.7;
@@ -611,8 +611,8 @@
         (0..ASKED).filter_map(|_| by_share(&weights, self.uniform())).map(|at| drawn[at].1).collect()
     }
 
-    /// The hosts where a group goes first, in the order in which all nodes find them, and how many of them are
-    /// for its share; none for no group.
+    /// The hosts where a group goes first, in the order in which all nodes find them, and how many of
+    /// them are for its share; none for no group.
     fn group_first(&mut self, group: u64) -> (Vec<usize>, usize) {
         if group == 0 {
             return (Vec::new(), 0);
