--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -18,6 +18,27 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(with = "Sessions")]
     pub sessions: Option<Sessions>,
+    /// A folder that outlives the process, for what the balancer is to know when it starts again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Store")]
+    pub store: Option<Store>,
+}
+
+/// A folder that outlives the process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// The folder, one for each balancer; a path that does not begin with / counts from this file's folder.
+    #[schemars(length(min = 1))]
+    pub folder: PathBuf,
+    /// A list that is older than so many seconds is doubted: each form host in it is asked before it gets work.
+    #[serde(default = "trusted_s")]
+    #[schemars(range(min = 1, max = 86_400))]
+    pub trusted_s: u32,
+    /// Form hosts of such a list that are asked at once.
+    #[serde(default = "asked_at_once")]
+    #[schemars(range(min = 1, max = 256))]
+    pub asked_at_once: u16,
 }
 
 /// Sessions that outlive the form host that holds them.
@@ -71,6 +92,12 @@
     pub most_links: u32,
 }
 
+fn trusted_s() -> u32 {
+    10
+}
+fn asked_at_once() -> u16 {
+    4
+}
 fn three() -> u8 {
     3
 }
@@ -251,7 +278,9 @@
         assert!(lease.contains("o.json: /sessions/keepers: 2 is not one of"), "{lease}");
         let odd = said(r#"{"session":{}}"#);
         assert!(odd.contains("o.json: the whole:") && odd.contains("'session'"), "{odd}");
-        assert!(odd.contains("keys sessions"), "{odd}");
+        assert!(odd.contains("keys sessions, store"), "{odd}");
+        let store = said(r#"{"store":{"folder":"f","trusted_s":0}}"#);
+        assert!(store.contains("/store/trusted_s: 0 is less than the minimum of 1"), "{store}");
         let missing = said(r#"{"sessions":{}}"#);
         assert!(missing.contains("o.json: /sessions: \"keys\" is a required property"), "{missing}");
         let half = said("{\n\"sessions\":");
--- a/node/src/cli.rs
+++ b/node/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::operations::features;
 use crate::serve::{Options, serve};
 use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use marllink_config::Operators;
 use marllink_sessions::Token;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -50,6 +51,11 @@
         #[command(subcommand)]
         command: TokenCommand,
     },
+    /// Look at what a balancer keeps on disk, and tidy it up.
+    State {
+        #[command(subcommand)]
+        command: StateCommand,
+    },
     /// Print what a shell needs to complete this command line.
     Completions {
         /// Which shell.
@@ -69,6 +75,30 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+enum StateCommand {
+    /// Print what is in force in a folder, a line for each thing, and how old it is.
+    Show {
+        /// The folder.
+        folder: PathBuf,
+    },
+    /// Check a folder; fails if a part is damaged.
+    Check {
+        /// The folder.
+        folder: PathBuf,
+    },
+    /// Print all that is in force as JSON.
+    Export {
+        /// The folder.
+        folder: PathBuf,
+    },
+    /// Write the log anew without what is outdated or damaged; while a balancer writes it, that is refused.
+    Compact {
+        /// The folder.
+        folder: PathBuf,
+    },
+}
+
 /// Does what the command line says.
 pub fn main() -> ExitCode {
     let cli = Cli::parse();
@@ -80,6 +110,7 @@
         Some(Command::Check { file, json }) => check(&file, json),
         Some(Command::Schema) => Ok(format!("{:#}", marllink_config::schema())),
         Some(Command::Token { command: TokenCommand::Inspect { token, keys } }) => inspect(&token, &keys),
+        Some(Command::State { command }) => state(&command),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Cli::command(), "marllink", &mut std::io::stdout());
             return ExitCode::SUCCESS;
@@ -106,7 +137,12 @@
         return check_configuration(&name.to_string(), &text, json);
     }
     let features = features::load(Some(file))?;
-    let on = if features.operators.sessions.is_some() { "sessions on" } else { "nothing switched on" };
+    let Operators { sessions, store } = &features.operators;
+    let on: Vec<_> = [sessions.as_ref().map(|_| "sessions on"), store.as_ref().map(|_| "store on")]
+        .into_iter()
+        .flatten()
+        .collect();
+    let on = if on.is_empty() { "nothing switched on".to_owned() } else { on.join(", ") };
     Ok(format!("{name}: sound, {on}"))
 }
 
@@ -125,6 +161,40 @@
     Ok(format!("{name}: sound") + &parts.iter().map(line).collect::<String>())
 }
 
+fn state(command: &StateCommand) -> Result<String, String> {
+    let (StateCommand::Show { folder }
+    | StateCommand::Check { folder }
+    | StateCommand::Export { folder }
+    | StateCommand::Compact { folder }) = command;
+    let name = folder.display();
+    let said = |error: marllink_store::Error| format!("{name}: {error}");
+    let found = marllink_store::read(folder).map_err(said)?;
+    let counts = format!("{} records, {} bytes, {} damaged", found.records, found.bytes, found.damaged);
+    match command {
+        StateCommand::Show { .. } => {
+            let line = |record: &marllink_store::Record| {
+                let age = (features::unix_ms() - record.at) / 1_000.0;
+                let rev =
+                    record.body.pointer("/list/rev").map_or(String::new(), |rev| format!(", version {rev}"));
+                let hosts = record.body.pointer("/list/targets").and_then(serde_json::Value::as_array);
+                let hosts = hosts.map_or(String::new(), |all| format!(", {} form hosts", all.len()));
+                format!("\n{}  {age:.0} s old{rev}{hosts}", record.name)
+            };
+            Ok(format!("{name}: {counts}") + &found.latest.values().map(line).collect::<String>())
+        }
+        StateCommand::Check { .. } if found.damaged > 0 => Err(format!("{name}: {counts}")),
+        StateCommand::Check { .. } => Ok(format!("{name}: sound, {counts}")),
+        StateCommand::Export { .. } => serde_json::to_string_pretty(&found.latest).map_err(|e| e.to_string()),
+        StateCommand::Compact { .. } => {
+            let disk = marllink_store::FileDisk::take(folder).map_err(said)?;
+            let mut store = marllink_store::Folder::open(disk).map_err(said)?;
+            store.compact().map_err(said)?;
+            let after = marllink_store::read(folder).map_err(said)?;
+            Ok(format!("{name}: {counts}; now {} records, {} bytes", after.records, after.bytes))
+        }
+    }
+}
+
 fn inspect(text: &str, keys: &Path) -> Result<String, String> {
     let keys = features::keys(keys)?;
     let token = Token::read(text.as_bytes(), &keys).map_err(|e| format!("the token is {e}"))?;
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::{Rc, Weak};
+use tokio::sync::Notify;
 
 /// What the decisions do about requests and servers.
 pub trait Requests {
@@ -43,6 +44,8 @@
     next_request: Cell<u64>,
     requests: RefCell<Option<Weak<dyn Requests>>>,
     membership: RefCell<Option<Rc<dyn Membership>>>,
+    /// A first connection stands.
+    served: Notify,
     me: Weak<Core>,
 }
 
@@ -58,6 +61,7 @@
             next_request: Cell::new(1),
             requests: RefCell::new(None),
             membership: RefCell::new(None),
+            served: Notify::new(),
             me: me.clone(),
         })
     }
@@ -75,6 +79,11 @@
         RequestId(id)
     }
 
+    /// Waits until a connection stands that was not there before. For one caller.
+    pub async fn served(&self) {
+        self.served.notified().await;
+    }
+
     /// What a successor is to know.
     pub fn knowledge(&self) -> Knowledge {
         Knowledge { now: self.clock.now(), ..self.balancer.borrow().knowledge() }
@@ -98,6 +107,9 @@
         let mut actions = Vec::new();
         loop {
             let Some(event) = self.queue.borrow_mut().pop_front() else { break };
+            if matches!(event, Event::Established { .. }) {
+                self.served.notify_one();
+            }
             if !matches!(event, Event::Timer(_)) {
                 tracing::debug!("{:.1} {event:?}", self.clock.now());
             }
--- a/node/src/membership/discovery.rs
+++ b/node/src/membership/discovery.rs
@@ -14,7 +14,7 @@
 use crate::membership::directory::Directory;
 use crate::protocol::discovery::{self as syntax, List, Target};
 use crate::protocol::http::{self, Read};
-use marllink::{Event, ListKind};
+use marllink::{Event, ListKind, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -34,6 +34,12 @@
 /// No list comes near this; a longer body is refused.
 const LONGEST_BODY: usize = 16 * 1024 * 1024;
 
+/// Who keeps the list through a restart.
+pub trait Keeper {
+    /// Discovery has told; its list is this now.
+    fn told(&self, list: List);
+}
+
 /// Follows the list.
 pub struct Discovery {
     core: Weak<Core>,
@@ -51,6 +57,9 @@
     watch: RefCell<Option<AbortHandle>>,
     /// Who else must know of form hosts, if anybody.
     resume: RefCell<Option<Rc<Resume>>>,
+    /// Who keeps the list through a restart, if anybody; and when the service was last heard of.
+    keeper: RefCell<Option<Rc<dyn Keeper>>>,
+    heard_at: Cell<Millis>,
     me: Weak<Discovery>,
 }
 
@@ -76,6 +85,8 @@
             fetch: RefCell::new(None),
             watch: RefCell::new(None),
             resume: RefCell::new(None),
+            keeper: RefCell::new(None),
+            heard_at: Cell::new(f64::MIN),
             me: me.clone(),
         })
     }
@@ -85,10 +96,41 @@
         self.resume.replace(Some(resume));
     }
 
+    /// Tells who keeps the list. To be called before the first one.
+    pub fn tell_keeper(&self, keeper: Rc<dyn Keeper>) {
+        self.keeper.replace(Some(keeper));
+    }
+
+    /// When the service was last heard of, be it that nothing has changed.
+    pub fn heard_at(&self) -> Millis {
+        self.heard_at.get()
+    }
+
+    /// Has the decisions know of form hosts of the list in hand that they were not told of. What is not listed any
+    /// more is passed over.
+    pub fn admit(&self, servers: &[ServerId]) {
+        let entries = {
+            let targets = self.targets.borrow();
+            let admitted = targets.values().filter(|t| servers.contains(&t.server()));
+            admitted.map(|t| t.entry(&self.clock, &self.zones)).collect()
+        };
+        self.feed(Event::ServerList { kind: ListKind::Delta, entries });
+    }
+
+    /// Begins with the list as it was known before the start, but keeps form hosts that `doubted` names from the
+    /// decisions until [`Self::admit`] or the service itself tells of them.
+    pub fn start_doubting(&self, known: &List, doubted: &dyn Fn(&Target) -> bool) {
+        self.begin(known, doubted);
+    }
+
     /// Begins with the list as it was known before the start; it may be old. Where lists are pushed, what
     /// has changed since is asked for at once.
     pub fn start_from(&self, known: &List) {
-        self.tell(known, ListKind::Cached);
+        self.begin(known, &|_| false);
+    }
+
+    fn begin(&self, known: &List, doubted: &dyn Fn(&Target) -> bool) {
+        self.tell(known, ListKind::Cached, doubted);
         if self.pushed {
             tracing::info!("discovery: lists are pushed, the watch of {} is kept open", self.address.get());
             self.watch();
@@ -126,13 +168,16 @@
     /// that comes is news.
     fn take(&self, list: &List) {
         if list.all {
-            self.tell(list, ListKind::Full);
+            self.tell(list, ListKind::Full, &|_| false);
         } else if self.pushed || list.rev > self.rev.get() {
-            self.tell(list, ListKind::Delta);
+            self.tell(list, ListKind::Delta, &|_| false);
+        } else if let Some(keeper) = self.keeper.borrow().clone().filter(|_| list.rev == self.rev.get()) {
+            // Nothing has changed: that is word as well.
+            keeper.told(self.list());
         }
     }
 
-    fn tell(&self, list: &List, kind: ListKind) {
+    fn tell(&self, list: &List, kind: ListKind, left_out: &dyn Fn(&Target) -> bool) {
         self.rev.set(list.rev);
         if list.all {
             self.targets.borrow_mut().clear();
@@ -152,8 +197,13 @@
             let listed = self.targets.borrow().values().map(|t| t.listed(&self.zones)).collect();
             resume.listed(listed);
         }
-        let entries = list.targets.iter().map(|t| t.entry(&self.clock, &self.zones)).collect();
+        let told = list.targets.iter().filter(|t| !left_out(t));
+        let entries = told.map(|t| t.entry(&self.clock, &self.zones)).collect();
         self.feed(Event::ServerList { kind, entries });
+        let keeper = self.keeper.borrow().clone();
+        if let Some(keeper) = keeper.filter(|_| kind != ListKind::Cached) {
+            keeper.told(self.list());
+        }
     }
 
     fn feed(&self, event: Event) {
@@ -218,6 +268,7 @@
             if !body.read_some().await? {
                 return Err("the watch ended".into());
             }
+            self.heard_at.set(self.clock.now());
         }
     }
 
--- a/node/src/operations/mod.rs
+++ b/node/src/operations/mod.rs
@@ -7,4 +7,5 @@
 pub mod maintenance;
 pub mod reload;
 pub mod shutdown;
+pub mod state;
 pub mod tuning;
--- a/node/src/protocol/discovery.rs
+++ b/node/src/protocol/discovery.rs
@@ -54,6 +54,11 @@
         self.state == State::Deleted
     }
 
+    /// True if it takes new connections, as far as it is listed.
+    pub fn is_serving(&self) -> bool {
+        self.state == State::Serving
+    }
+
     /// The id by which the decisions know it.
     pub fn server(&self) -> ServerId {
         ServerId(number_of(&self.uid))
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -9,7 +9,7 @@
 use crate::operations::config::{self, Config};
 use crate::operations::features::{self, Features};
 use crate::operations::handover::{self, Heritage};
-use crate::operations::{admin, maintenance, reload, shutdown, tuning};
+use crate::operations::{admin, maintenance, reload, shutdown, state, tuning};
 use crate::{core, exchange};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -165,12 +165,30 @@
         config.text.clone(),
     );
 
+    let state = match &features.operators.store {
+        Some(store) => {
+            let folder = operators.and_then(Path::parent).unwrap_or(Path::new("")).join(&store.folder);
+            let parts = state::Parts {
+                core: core.clone(),
+                clock: clock.clone(),
+                discovery: discovery.clone(),
+                directory: directory.clone(),
+                descriptors: descriptors.clone(),
+                tuning: tuning.clone(),
+            };
+            Some((state::State::new(parts, store, &folder, config.seed)?, folder))
+        }
+        None => None,
+    };
     let servers = server::Servers { clock: clock.clone(), tuning: tuning.clone() };
     tokio::task::spawn_local(servers.run(to_servers));
     let path = handover::path(config.listen);
     let (listener, successors) = match heritage {
         None => {
-            discovery.start_from(&config.known);
+            match &state {
+                Some((state, folder)) => state.start(&config.known, folder),
+                None => discovery.start_from(&config.known),
+            }
             (listen(config.listen)?, handover::listen(&path))
         }
         Some(heritage) => {
@@ -183,6 +201,9 @@
             (clients, Ok(successors))
         }
     };
+    if let Some((state, _)) = state {
+        tokio::task::spawn_local(state.follow());
+    }
     let maintenance =
         maintenance::Maintenance::new(core.clone(), clock.clone(), maintenance::path(config.listen));
     maintenance.look();
