Kill several real balancers together, with stores kept, wiped, old or torn

Need: what processes do together when parts break under them is to be shown by processes. Change: 'marllink-lab run' takes experiments with a crowd (lab/src/come_back.rs): balancers, an agent of discovery on each one's machine, form hosts and clients that come again; kills, SIGSTOP, discovery down, form hosts whose address something else has. Each balancer is judged by its own agent's word. Every lab process uses a loopback address of its own: a port that a killed balancer left was taken by a run beside it.

--- a/emulator/src/platform/discovery.rs
+++ b/emulator/src/platform/discovery.rs
@@ -41,6 +41,8 @@
     states: RefCell<Vec<State>>,
     rev: Cell<u64>,
     changed: Notify,
+    /// It learns nothing and says nothing.
+    down: Cell<bool>,
     address: SocketAddr,
     /// It claims to have told what it keeps to itself: a fault that the judge has to find.
     mum: bool,
@@ -65,6 +67,7 @@
             zones,
             rev: Cell::new(41),
             changed: Notify::new(),
+            down: Cell::new(false),
             address: listener.local_addr()?,
             mum,
         });
@@ -97,6 +100,23 @@
         self.changed.notify_waiters();
     }
 
+    /// It is down from now on, or back. While it is down it neither answers nor says that nothing has changed; what
+    /// has changed meanwhile is told at its return.
+    pub fn down(&self, down: bool) {
+        self.down.set(down);
+        self.changed.notify_waiters();
+    }
+
+    async fn up(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if !self.down.get() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// The list as it is now, whole.
     #[must_use]
     pub fn list(&self) -> String {
@@ -134,6 +154,7 @@
         while stream.read_line(&mut line).await? > 0 && !line.trim_end().is_empty() {
             line.clear();
         }
+        self.up().await;
         let mut told = vec![State::Serving; self.hosts.len()];
         if !call.contains("watch=1") {
             let body = self.list();
@@ -145,6 +166,7 @@
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
         let mut written = 0;
         loop {
+            self.up().await;
             let changed = self.changed.notified();
             let news = self.rev.get() != written;
             let text = if news { self.list() } else { String::new() };
--- a/emulator/src/platform/hosts.rs
+++ b/emulator/src/platform/hosts.rs
@@ -23,6 +23,9 @@
     Resets,
     /// It says nothing.
     Mute,
+    /// It has been deleted, and something else that speaks another language has its address: it breaks off whatever
+    /// comes, be it a question.
+    Gone,
 }
 
 /// A form host.
@@ -105,6 +108,9 @@
             if let Some((id, wait_ms)) = opening(&line) {
                 return self.open(stream, id, since, wait_ms).await;
             }
+            if self.manner.get() == Manner::Gone {
+                return stream.get_ref().set_zero_linger();
+            }
             let report = self.report.as_deref().unwrap_or_default();
             let answer = match line.trim_end() {
                 "PING" if self.probes => "PONG\r\n".to_owned(),
@@ -139,7 +145,7 @@
                 over("ERR");
                 return stream.write_all(b"ERR\r\n").await;
             }
-            Manner::Resets => {
+            Manner::Resets | Manner::Gone => {
                 over("(reset)");
                 return stream.get_ref().set_zero_linger();
             }
--- a/emulator/src/platform/mod.rs
+++ b/emulator/src/platform/mod.rs
@@ -5,11 +5,13 @@
 mod clients;
 mod discovery;
 mod hosts;
+mod returning;
 pub mod rules;
 
 pub use clients::{Habits, play};
 pub use discovery::{Discovery, State};
 pub use hosts::{Host, Manner};
+pub use returning::{BALANCER_BITS, Returning, Table};
 
 use crate::model::Millis;
 use std::cell::RefCell;
@@ -83,6 +85,12 @@
         Rc::new(Self { origin: Instant::now(), notes: RefCell::default() })
     }
 
+    /// Another empty one by the same clock.
+    #[must_use]
+    pub fn beside(&self) -> Rc<Self> {
+        Rc::new(Self { origin: self.origin, notes: RefCell::default() })
+    }
+
     /// The time since the beginning.
     #[must_use]
     pub fn now(&self) -> Millis {
--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -69,7 +69,8 @@
         self.cuts.borrow().iter().any(|(b, f, t)| *b == balancer && *f <= to && *t >= from)
     }
 
-    fn folder_of(&self, n: usize) -> PathBuf {
+    /// The folder of one.
+    pub fn folder_of(&self, n: usize) -> PathBuf {
         self.folder.join(format!("b{n}"))
     }
 
@@ -99,16 +100,21 @@
                     "prices": {"crossZone": 0.16, "moves": 0.02, "probe": 0.002, "lateFail": 0.058}
                 }
             });
-            let folder = self.folder_of(n);
-            std::fs::write(folder.join("config.json"), config.to_string())?;
-            std::fs::write(
-                folder.join("operators.json"),
-                serde_json::json!({"sessions": sessions}).to_string(),
-            )?;
+            self.lay(n, &config, &serde_json::json!({"sessions": sessions}))?;
         }
         self.keys(&[0], |_| true)
     }
 
+    /// Lays what a balancer reads at its start.
+    ///
+    /// # Errors
+    /// Fails if a file can't be written.
+    pub fn lay(&self, n: usize, config: &serde_json::Value, operators: &serde_json::Value) -> io::Result<()> {
+        let folder = self.folder_of(n);
+        std::fs::write(folder.join("config.json"), config.to_string())?;
+        std::fs::write(folder.join("operators.json"), operators.to_string())
+    }
+
     /// Lays a file with these keys, the last of which seals, at each balancer that `at` names.
     ///
     /// # Errors
@@ -182,13 +188,30 @@
     /// # Errors
     /// Fails if it does not start again.
     pub async fn kill(&self, n: usize, for_ms: f64) -> io::Result<()> {
+        self.halt(n)?;
+        sleep(for_ms).await;
+        self.back(n).await
+    }
+
+    /// Kills one, which stays away until [`Self::back`].
+    ///
+    /// # Errors
+    /// Fails if it can't be killed.
+    pub fn halt(&self, n: usize) -> io::Result<()> {
         let from = self.ledger.now();
         if let Some(mut child) = self.each[n].child.take() {
             child.kill()?;
             child.wait()?;
         }
         self.cuts.borrow_mut().push((n, from, f64::INFINITY));
-        sleep(for_ms).await;
+        Ok(())
+    }
+
+    /// Starts one again that was killed.
+    ///
+    /// # Errors
+    /// Fails if it does not start.
+    pub async fn back(&self, n: usize) -> io::Result<()> {
         self.start(n).await?;
         self.cut_ends(n);
         Ok(())
@@ -267,12 +290,14 @@
     }
 }
 
-/// An address that is free now.
+/// An address that is free now, of this process's own part of the loopback network: a balancer that is killed leaves its
+/// port free for a while, and another run beside this one must not get it.
 ///
 /// # Errors
 /// Fails if there is none.
 pub fn free() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+    let [.., high, low] = std::process::id().to_be_bytes();
+    TcpListener::bind((Ipv4Addr::new(127, 96 + high % 32, low, 1), 0))?.local_addr()
 }
 
 /// The folder of an experiment's results, empty.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `marllink-lab`: experiments with the real daemon between stand-ins.
 
 mod balancers;
+mod come_back;
 mod deployments;
 mod experiment;
 mod matrix;
@@ -30,7 +31,7 @@
         file: PathBuf,
         /// Plant this bug, which the experiment must then find.
         #[arg(long, value_name = "NAME")]
-        plant: Option<Plant>,
+        plant: Option<String>,
         /// Where the folder of results goes.
         #[arg(long, value_name = "FOLDER", default_value = "target/lab")]
         out: PathBuf,
@@ -101,6 +102,8 @@
 enum Kind {
     /// For `run`.
     Experiment,
+    /// For `run`, with several balancers and a crowd.
+    ComeBack,
     /// For `model`.
     Matrix,
 }
@@ -114,7 +117,11 @@
     let done = match Cli::parse().command {
         Command::Daemon => return marllink_node::serve(&marllink_node::Options::default()),
         Command::Schema { of } => {
-            let schema = if of == Kind::Matrix { matrix::schema() } else { experiment::schema() };
+            let schema = match of {
+                Kind::Matrix => matrix::schema(),
+                Kind::Experiment => experiment::schema(),
+                Kind::ComeBack => come_back::schema(),
+            };
             println!("{schema:#}");
             Ok(true)
         }
@@ -124,7 +131,12 @@
         Command::Model { file, plant, seeds, day, out, quiet } => {
             model(&file, plant, seeds, day, &out, quiet)
         }
-        Command::Run { file, plant, out, quiet } => read(&file).and_then(|e| run(&e, plant, &out, quiet)),
+        Command::Run { file, plant, out, quiet } if come_backs(&file) => {
+            come_back(&file, plant.as_deref(), &out, quiet)
+        }
+        Command::Run { file, plant, out, quiet } => {
+            planted(plant.as_deref()).and_then(|plant| run(&read(&file)?, plant, &out, quiet))
+        }
         Command::Demo { seconds, drafters } => {
             run(&demo(seconds, drafters), None, Path::new("target/lab"), false)
         }
@@ -139,6 +151,52 @@
     }
 }
 
+/// A bug to plant by its name, among those of one kind of experiments.
+fn planted<P: std::str::FromStr<Err = String>>(name: Option<&str>) -> Result<Option<P>, String> {
+    name.map(|name| name.parse().map_err(|e| format!("--plant {name}: {e}"))).transpose()
+}
+
+/// True if a file is of those with several balancers and a crowd. What can't be read is told of by whoever reads it.
+fn come_backs(file: &Path) -> bool {
+    let value =
+        std::fs::read(file).ok().and_then(|text| serde_json::from_slice::<serde_json::Value>(&text).ok());
+    value.is_some_and(|value| value.get("crowd").is_some())
+}
+
+/// Runs an experiment with several balancers; true if it is sound.
+fn come_back(file: &Path, plant: Option<&str>, out: &Path, quiet: bool) -> Result<bool, String> {
+    let plant = planted(plant)?;
+    let (_, experiment): (_, come_back::ComeBack) = read_by(file, &come_back::schema())?;
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    let folder = balancers::folder(out, &experiment.name).map_err(|e| format!("{}: {e}", out.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let running = come_back::run(&experiment, program, &folder, plant);
+    let results = tokio::task::LocalSet::new().block_on(&runtime, running).map_err(|e| e.to_string())?;
+    results.write(&folder).map_err(|e| e.to_string())?;
+    if !quiet {
+        println!(
+            "{} asked, {} served, {} lost with their balancer, {} refused or cut off; {} attempts at form hosts that are gone;\n\
+             {:.2} attempts for each client in the worst second after a kill; full service after {:.1?} s",
+            results.asked,
+            results.served,
+            results.lost,
+            results.refused,
+            results.stale,
+            results.wave,
+            results.back_s
+        );
+    }
+    match results.against.as_slice() {
+        [] => println!("{}: kept: no rule was broken and every bound holds", experiment.name),
+        against => {
+            let shown = &against[..against.len().min(8)];
+            println!("{}: BROKEN, {} times:\n  {}", experiment.name, against.len(), shown.join("\n  "));
+        }
+    }
+    Ok(results.against.is_empty())
+}
+
 /// Reads a file by its schema, with its name as problems call it.
 fn read_by<T: serde::de::DeserializeOwned>(
     file: &Path,
