--- a/relief/src/lib.rs
+++ b/relief/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! let mut strain = Strain::new(0.0);
 //! // Twice the aim of 100 ms, with 20 connections of this balancer there.
-//! let leave = strain.note(1_000.0, 200.0, 100.0, 20.0, 1.0 / 3.0);
+//! let leave = strain.note(1_000.0, 200.0, 100.0, 20.0);
 //! assert!(leave > 0.0 && strain.hot(1_500.0));
 //! assert!(!strain.hot(4_000.0));
 //! ```
@@ -36,15 +36,11 @@
 pub const MOVED_SHARE: f64 = 0.4;
 /// Time constant in ms by which the limit of a host that was overloaded grows again.
 const LIMIT_TAU_MS: Millis = 15_000.0;
-/// It grows by so many connections a second over all balancers as well, each adding its part: of two connections
-/// a factor makes a third only after 6 s. About what leaves such a host by itself.
-const FLEET_PER_S: f64 = 1.0;
 /// A limit that limits nothing.
 const NO_LIMIT: f64 = 1e12;
 
 /// What one balancer knows of how strained a host is. Say [`Strain::note`] at each note, and ask
-/// [`Strain::hot`] and [`Strain::limit`] before another connection. `part` is the balancer's part of the fleet:
-/// one over the number of balancers.
+/// [`Strain::hot`] and [`Strain::limit`] before another connection.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Strain {
     hot_until: Millis,
@@ -61,13 +57,13 @@
 
     /// A message takes `delay_ms` there, where the strictest class wants one within `aim_ms` and this
     /// balancer has `open` connections and attempts. How many of them are to be moved away.
-    pub fn note(&mut self, now: Millis, delay_ms: Millis, aim_ms: Millis, open: f64, part: f64) -> f64 {
+    pub fn note(&mut self, now: Millis, delay_ms: Millis, aim_ms: Millis, open: f64) -> f64 {
         if delay_ms <= aim_ms * HOT_SHARE {
             self.hot_until = now;
             return 0.0;
         }
         self.hot_until = now + NOTE_MS;
-        self.limit = self.limit(now, part).min(open);
+        self.limit = self.limit(now).min(open);
         self.limit_at = now;
         if delay_ms <= aim_ms {
             return 0.0;
@@ -79,13 +75,12 @@
     }
 
     /// A connection has come up there after `took_ms`. A host that needs longer for that than a message may take
-    /// has work piled up before it, and messages wait behind that as well: nothing new is to go for a while. It
-    /// is the one sign that a balancer of hundreds gets where hosts report nothing and drop their newest before a
-    /// slow message is told of. It says nothing of how much the host can hold, so no limit follows: set-ups that
-    /// came together are slow on a host that is idle but for them.
-    pub fn came_up(&mut self, now: Millis, took_ms: Millis, aim_ms: Millis) {
+    /// has work piled up before it, and messages wait behind that as well: nothing new is to go for a while,
+    /// and it keeps what it has. It is the one sign that a balancer of hundreds gets where hosts report nothing
+    /// and drop their newest before a slow message is told of.
+    pub fn came_up(&mut self, now: Millis, took_ms: Millis, aim_ms: Millis, open: f64) {
         if took_ms > aim_ms {
-            self.hot_until = self.hot_until.max(now + NOTE_MS);
+            self.note(now, aim_ms, aim_ms, open);
         }
     }
 
@@ -97,9 +92,8 @@
 
     /// Own connections that this balancer holds there at most; a huge number where there is no limit.
     #[must_use]
-    pub fn limit(&self, now: Millis, part: f64) -> f64 {
-        let passed = (now - self.limit_at).clamp(0.0, 40.0 * LIMIT_TAU_MS);
-        self.limit * (passed / LIMIT_TAU_MS).exp() + FLEET_PER_S * part * passed / 1_000.0
+    pub fn limit(&self, now: Millis) -> f64 {
+        self.limit * ((now - self.limit_at).clamp(0.0, 40.0 * LIMIT_TAU_MS) / LIMIT_TAU_MS).exp()
     }
 
     /// The same on a clock that shows so much more.
@@ -113,65 +107,47 @@
 mod tests {
     use super::*;
 
-    /// One of a thousand: what the fleet adds is too little to see.
-    const PART: f64 = 0.001;
-
     #[test]
     fn a_host_near_its_aim_takes_nothing_new_and_loses_nobody() {
         let mut strain = Strain::new(0.0);
-        assert_eq!(strain.note(0.0, 70.0, 100.0, 10.0, PART), 0.0);
+        assert_eq!(strain.note(0.0, 70.0, 100.0, 10.0), 0.0);
         assert!(strain.hot(1_499.0) && !strain.hot(1_500.0));
-        assert!((strain.limit(0.0, PART) - 10.0).abs() < 1e-9);
+        assert!((strain.limit(0.0) - 10.0).abs() < 1e-9);
         // Told that it is well, it takes again at once, up to its limit.
-        assert_eq!(strain.note(500.0, 20.0, 100.0, 10.0, PART), 0.0);
+        assert_eq!(strain.note(500.0, 20.0, 100.0, 10.0), 0.0);
         assert!(!strain.hot(500.0));
-        assert!((strain.limit(15_000.0, PART) - 10.0 * std::f64::consts::E).abs() < 0.1);
+        assert!((strain.limit(15_000.0) - 10.0 * std::f64::consts::E).abs() < 0.1);
     }
 
     #[test]
     fn what_leaves_is_a_part_of_what_is_over_the_limit_and_grows_with_the_delay() {
         let (mut slow, mut slower) = (Strain::new(0.0), Strain::new(0.0));
-        let leave = slow.note(0.0, 250.0, 100.0, 20.0, PART);
+        let leave = slow.note(0.0, 250.0, 100.0, 20.0);
         assert!((leave - 0.4 * 4.0).abs() < 1e-9, "{leave}");
-        assert!((slow.limit(0.0, PART) - 16.0).abs() < 1e-9);
-        assert!((slower.note(0.0, 5_000.0, 100.0, 20.0, PART) - 0.4 * 10.0).abs() < 1e-9);
+        assert!((slow.limit(0.0) - 16.0).abs() < 1e-9);
+        assert!((slower.note(0.0, 5_000.0, 100.0, 20.0) - 0.4 * 10.0).abs() < 1e-9);
     }
 
     #[test]
-    fn a_slow_set_up_closes_a_host_for_a_while_and_says_nothing_of_what_it_can_hold() {
+    fn a_slow_set_up_closes_a_host_for_a_while_and_moves_nobody() {
         let mut strain = Strain::new(0.0);
-        strain.came_up(0.0, 99.0, 100.0);
+        strain.came_up(0.0, 99.0, 100.0, 8.0);
         assert!(!strain.hot(0.0));
-        strain.came_up(0.0, 101.0, 100.0);
+        strain.came_up(0.0, 101.0, 100.0, 8.0);
         assert!(strain.hot(1_499.0) && !strain.hot(1_500.0));
-        assert!(strain.limit(1_500.0, PART) >= NO_LIMIT, "it may fill up as others do");
-        strain.came_up(9_000.0, 1e9, f64::INFINITY);
+        assert!((strain.limit(0.0) - 8.0).abs() < 1e-9, "it keeps what it has");
+        strain.came_up(9_000.0, 1e9, f64::INFINITY, 8.0);
         assert!(!strain.hot(9_000.0), "where no message has an aim");
     }
 
-    #[test]
-    fn a_small_limit_comes_back_and_all_balancers_together_add_no_more_than_one_a_second() {
-        let limit_after = |nodes: f64, open: f64, ms: f64| {
-            let mut strain = Strain::new(0.0);
-            strain.note(0.0, 75.0, 100.0, open, 1.0 / nodes);
-            strain.limit(ms, 1.0 / nodes)
-        };
-        // One of two balancers with one connection there: a second one within 2 s, where a factor takes 10.
-        assert!(limit_after(2.0, 1.0, 2_000.0) > 2.0);
-        for nodes in [2.0, 12.0, 300.0, 1_000.0] {
-            let added = nodes * (limit_after(nodes, 0.0, 5_000.0) - limit_after(nodes, 0.0, 0.0));
-            assert!((added - 5.0).abs() < 1e-6, "{nodes} balancers add {added} in 5 s");
-        }
-    }
-
     #[test]
     fn a_clock_that_began_elsewhere_changes_nothing_and_no_figure_is_infinite() {
         let mut strain = Strain::new(0.0);
-        strain.note(100.0, 250.0, 100.0, 20.0, PART);
+        strain.note(100.0, 250.0, 100.0, 20.0);
         let shifted = strain.shifted(5e9);
-        assert!((shifted.limit(5e9 + 700.0, PART) - strain.limit(700.0, PART)).abs() < 1e-6);
+        assert!((shifted.limit(5e9 + 700.0) - strain.limit(700.0)).abs() < 1e-6);
         assert_eq!(shifted.hot(5e9 + 1_599.0), strain.hot(1_599.0));
-        assert!(Strain::new(-1e12).limit(1e12, PART).is_finite());
-        assert!(Strain::new(0.0).limit(0.0, PART) >= NO_LIMIT);
+        assert!(Strain::new(-1e12).limit(1e12).is_finite());
+        assert!(Strain::new(0.0).limit(0.0) >= NO_LIMIT);
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -732,9 +732,7 @@
         }
         let slot = pending.slot;
         let server = &mut self.servers[slot];
-        let part = self.settings.part();
-        let open = f64::from(server.open);
-        let excess = server.track.strain.note(self.now, delay_ms, self.slow_aim, open, part);
+        let excess = server.track.strain.note(self.now, delay_ms, self.slow_aim, f64::from(server.open));
         let planted = self.variant.plant == Some(Plant::MoveWhenAllSlow);
         self.move_some(slot, if planted { excess / marllink_relief::MOVED_SHARE } else { excess }, out);
     }
@@ -746,7 +744,7 @@
         let mean = self.ready_open / self.warm_weight.max(f64::MIN_POSITIVE) * s.weight;
         let bound = if self.may_ask() { NO_LIMIT } else { MEAN_BOUND * mean + 1.0 };
         // Between whole numbers they hold on the mean over nodes and tries.
-        let room = s.track.strain.limit(self.now, self.settings.part()).min(bound) + some;
+        let room = s.track.strain.limit(self.now).min(bound) + some;
         s.track.strain.hot(self.now) || self.load_now(slot) >= BUSY_LOAD || f64::from(s.open) + 1.0 > room
     }
 
@@ -1162,7 +1160,8 @@
         let took_ms = self.now - pending.sent_at;
         // Where loads are told they say more, and a set-up across zones may take as long on a sound host.
         let aim = if self.may_ask() { f64::INFINITY } else { self.slow_aim };
-        self.servers[slot].track.strain.came_up(self.now, took_ms, aim);
+        let server = &mut self.servers[slot];
+        server.track.strain.came_up(self.now, took_ms, aim, f64::from(server.open));
         self.retries.stood(self.now, took_ms);
         self.reports.handle(self.now, Asked::Paid, &mut Vec::new());
         self.fleet.rate.add(self.now, self.per_warm());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -220,12 +220,6 @@
         aims.fold(f64::INFINITY, f64::min)
     }
 
-    /// This node's part of the fleet: one over the number of nodes.
-    #[must_use]
-    pub fn part(&self) -> f64 {
-        1.0 / f64::from(self.nodes.max(1))
-    }
-
     /// How servers are asked for their load.
     pub(crate) fn asking(&self) -> marllink_knowledge::Settings {
         let aims = self.classes.iter().map(|c| c.aim_ms).filter(|a| *a > 0.0);
