Refuse faults that cannot happen, and hold no late answer against a loaded machine

Cause: a fault that named a form host which is not there ended its task in a panic that nobody looked at, and the run went on as if it had happened (lab/src/come_back.rs). An answer after the client's time is a bound on time: it hangs on the machine, and is told now, as 'deployments' does, and not held against the run.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -166,7 +166,8 @@
 /// Runs an experiment with several balancers; true if it is sound.
 fn come_back(file: &Path, plant: Option<&str>, out: &Path, quiet: bool) -> Result<bool, String> {
     let plant = planted(plant)?;
-    let (_, experiment): (_, come_back::ComeBack) = read_by(file, &come_back::schema())?;
+    let (name, experiment): (_, come_back::ComeBack) = read_by(file, &come_back::schema())?;
+    come_back::sound(&experiment).map_err(|e| format!("{name}: {e}"))?;
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
     let folder = balancers::folder(out, &experiment.name).map_err(|e| format!("{}: {e}", out.display()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -187,6 +188,9 @@
             results.back_s
         );
     }
+    if results.late > 0 {
+        println!("{} answers late: a loaded machine, or a fault", results.late);
+    }
     match results.against.as_slice() {
         [] => println!("{}: kept: no rule was broken and every bound holds", experiment.name),
         against => {
