--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -217,7 +217,13 @@
         tmp: std::rc::Rc<Tmp>,
         opened: u32,
     ) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_marllink"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_marllink"));
+        // What a test has laid there before the start switches on what is off by default.
+        let operators = tmp.0.join("operators.json");
+        if operators.exists() {
+            command.env("MARLLINK_OPERATORS", operators);
+        }
+        let mut child = command
             .env("NODE_CONFIG", tmp.0.join("config.json"))
             .env("NODE_LISTEN", listen.to_string())
             .env("NODE_DISCOVERY", discovery.local_addr().expect("it listens").to_string())
