Begin with a list that is doubted or not by one way

Cause: Discovery::start_doubting only passed its arguments on to a private function. Change: that function has its name now; start_from calls it. Measured: the node's 74 tests pass.

--- a/node/src/membership/discovery.rs
+++ b/node/src/membership/discovery.rs
@@ -117,19 +117,15 @@
         self.feed(Event::ServerList { kind: ListKind::Delta, entries });
     }
 
-    /// Begins with the list as it was known before the start, but keeps form hosts that `doubted` names from the
-    /// decisions until [`Self::admit`] or the service itself tells of them.
-    pub fn start_doubting(&self, known: &List, doubted: &dyn Fn(&Target) -> bool) {
-        self.begin(known, doubted);
-    }
-
     /// Begins with the list as it was known before the start; it may be old. Where lists are pushed, what
     /// has changed since is asked for at once.
     pub fn start_from(&self, known: &List) {
-        self.begin(known, &|_| false);
+        self.start_doubting(known, &|_| false);
     }
 
-    fn begin(&self, known: &List, doubted: &dyn Fn(&Target) -> bool) {
+    /// The same, but keeps form hosts that `doubted` names from the decisions until [`Self::admit`] or the service
+    /// itself tells of them.
+    pub fn start_doubting(&self, known: &List, doubted: &dyn Fn(&Target) -> bool) {
         self.tell(known, ListKind::Cached, doubted);
         if self.pushed {
             tracing::info!("discovery: lists are pushed, the watch of {} is kept open", self.address.get());
