--- a/affinity/src/sizes.rs
+++ b/affinity/src/sizes.rs
@@ -28,13 +28,10 @@
     }
 
     /// How many of so many hosts a group is to have: its share of them, by chance where that is no whole number,
-    /// and one at least. Its last connection, the one to be placed, is to have been seen already. `uniform` is a
-    /// random number in 0..1.
+    /// and one at least. `uniform` is a random number in 0..1.
     #[must_use]
     pub fn width(&self, group: u64, hosts: usize, uniform: f64) -> usize {
-        // The connection that is being placed is counted, and says nothing: whatever comes is of some group.
-        let others = (self.seen.get(&group).copied().unwrap_or(0.0) - 1.0).max(0.0);
-        let share = others / ((self.all - 1.0).max(0.0) + UNSEEN);
+        let share = self.seen.get(&group).copied().unwrap_or(0.0) / (self.all + UNSEEN);
         ((share * hosts as f64 + uniform).floor() as usize).clamp(1, hosts.max(1))
     }
 }
@@ -58,22 +55,11 @@
     fn few_connections_say_little_and_a_share_between_whole_numbers_holds_on_the_mean() {
         let mut sizes = Sizes::default();
         sizes.seen(7);
-        sizes.seen(7);
         sizes.seen(8);
-        // One of the eighteen beside the one that is placed, not two of three.
+        // One of eighteen, not one of two.
         assert_eq!((sizes.width(7, 81, 0.4), sizes.width(7, 81, 0.6)), (4, 5));
     }
 
-    #[test]
-    fn the_connection_that_is_placed_says_nothing_of_its_group() {
-        // A balancer of hundreds, which sees three connections of as many groups: each has one host, not four.
-        let mut sizes = Sizes::default();
-        for group in [7, 8, 9] {
-            sizes.seen(group);
-            assert_eq!(sizes.width(group, 83, 0.99), 1);
-        }
-    }
-
     #[test]
     fn what_is_long_past_fades_and_what_is_kept_is_bounded() {
         let mut sizes = Sizes::default();
