--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -193,6 +193,22 @@
     format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, entries.join(","))
 }
 
+/// The file that holds a plan of faults, and the one in which the library tells which have fired.
+const FAULT_PLAN: &str = "faults";
+const FAULT_REPORT: &str = "faults.fired";
+
+/// The library that makes system calls fail, built once for all tests of a program.
+fn fault_library() -> std::path::PathBuf {
+    static BUILT: std::sync::Once = std::sync::Once::new();
+    BUILT.call_once(|| {
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--quiet", "--locked", "-p", "marllink-shim"]);
+        assert!(build.status().expect("cargo can be run").success(), "the library can be built");
+    });
+    let program = std::path::Path::new(env!("CARGO_BIN_EXE_marllink"));
+    program.with_file_name("libmarllink_shim.so")
+}
+
 /// A folder of a balancer's own, gone with the last that uses it.
 struct Tmp(std::path::PathBuf);
 
@@ -263,6 +279,20 @@
         Self::spawn(listen, admin, discovery, std::rc::Rc::new(Tmp(tmp)), 0)
     }
 
+    /// One whose system calls fail by a plan, in which `@LISTEN` stands for the port at which it listens.
+    pub fn start_with_faults(hosts: &[&Host], plan: &str) -> Self {
+        Self::start_beside(hosts, 256, |socket| {
+            let folder = socket.parent().expect("it lies in the test's folder");
+            std::fs::write(folder.join(FAULT_PLAN), plan).expect("a file can be written");
+        })
+    }
+
+    /// How often this fault has fired, named by call and error.
+    pub fn fired(&self, fault: &str) -> usize {
+        let report = std::fs::read_to_string(self.tmp.0.join(FAULT_REPORT)).unwrap_or_default();
+        report.lines().filter(|line| *line == fault).count()
+    }
+
     /// Starts the program again while this one runs.
     pub fn successor(&self) -> Self {
         let discovery = self.discovery.try_clone().expect("a descriptor is free");
@@ -292,6 +322,13 @@
         if operators.exists() {
             command.env("MARLLINK_OPERATORS", operators);
         }
+        // A plan of faults that a test has laid there is carried out by a library in the program.
+        if let Ok(plan) = std::fs::read_to_string(tmp.0.join(FAULT_PLAN)) {
+            command
+                .env("LD_PRELOAD", fault_library())
+                .env("MARLLINK_FAULTS", plan.replace("@LISTEN", &format!("@{}", listen.port())))
+                .env("MARLLINK_FAULT_REPORT", tmp.0.join(FAULT_REPORT));
+        }
         let mut child = command
             .env("NODE_CONFIG", tmp.0.join("config.json"))
             .env("NODE_LISTEN", listen.to_string())
