Log one record for each request's end: its attempts, why it ended, how long it took

Change: typed reasons for the end of a request and of an attempt, with the system's error; ends that are no ordinary ones are logged at the usual level, others with debug. NoWay becomes ConnectError and fill tells how it ended.

--- a/node/src/exchange/holders.rs
+++ b/node/src/exchange/holders.rs
@@ -1,5 +1,6 @@
 //! What each side holds of a request: dropped, it gives that back, however its task ends.
 
+use super::record::{AttemptEnd, AttemptRecord, EndReason};
 use super::{CallOff, Entry, Exchange, Phase, Pipe};
 use crate::host::told::{self, Meaning, Seen};
 use crate::io::clock::Millis;
@@ -47,7 +48,7 @@
     /// The client has sent something before its answer, which no client of the protocol does:
     /// nothing of that may reach a form host, and the request ends here.
     pub fn malformed(&self) {
-        self.exchange.answer(self.id, "ERR\r\n".into());
+        self.exchange.answer(self.id, "ERR\r\n".into(), EndReason::ClientMalformed);
         self.exchange.core.feed(Event::ClientGone(self.id));
     }
 
@@ -76,7 +77,7 @@
     pub(super) server: ServerId,
     pub(super) call_off: Rc<CallOff>,
     pub(super) sent_at: Millis,
-    pub(super) outcome: Outcome,
+    pub(super) end: Option<AttemptEnd>,
     pub(super) asked: std::cell::Cell<bool>,
 }
 
@@ -113,6 +114,7 @@
         entry.phase = Phase::Standing;
         entry.pipe.standing.set(true);
         entry.pipe.stood_at.set(exchange.clock.now());
+        entry.record.established(exchange.clock.now());
         drop(entries);
         let latency_ms = exchange.clock.now() - self.sent_at;
         exchange.core.feed(Event::Established { request: self.id, attempt: self.attempt, latency_ms });
@@ -198,14 +200,17 @@
     }
 
     /// How the attempt ended. To be called once its socket is closed.
-    pub fn end(mut self, outcome: Outcome) {
-        self.outcome = outcome;
+    pub fn end(mut self, end: AttemptEnd) {
+        self.end = Some(end);
     }
 }
 
 impl Drop for Errand {
     fn drop(&mut self) {
-        self.exchange.attempt_ended(self.id, self.attempt, self.outcome);
+        let end = self.end.take().unwrap_or_else(|| AttemptEnd::cancelled(Outcome::Cancelled));
+        let took_ms = self.exchange.clock.now() - self.sent_at;
+        let record = AttemptRecord { server: self.server, end, took_ms };
+        self.exchange.attempt_ended(self.id, self.attempt, record);
     }
 }
 
--- a/node/src/exchange/mod.rs
+++ b/node/src/exchange/mod.rs
@@ -8,6 +8,7 @@
 mod holders;
 mod orders;
 mod pipe;
+pub mod record;
 pub mod resume;
 
 use crate::core::{Core, Requests};
@@ -27,6 +28,7 @@
 pub use orders::{Adopted, Attempt, Order, Probe};
 use pipe::Handoff;
 pub use pipe::{Passed, Pipe, Socket};
+use record::{AttemptCause, AttemptEnd, AttemptRecord, EndReason, RequestRecord};
 use resume::Resume;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -92,6 +94,7 @@
     asks: Option<NewRequest>,
     /// When it was taken.
     taken_at: Millis,
+    record: RequestRecord,
 }
 
 struct Out {
@@ -239,6 +242,7 @@
             held: true,
             asks: session.is_some().then(|| new.clone()),
             taken_at: self.clock.now(),
+            record: RequestRecord::new(self.clock.now()),
         };
         self.entries.borrow_mut().insert(id, entry);
         match (at, session, &self.resume) {
@@ -277,7 +281,8 @@
         let silent = |e: &Entry| {
             matches!(e.phase, Phase::Standing) && e.pipe.waiting.borrow().silent_for(now) > SILENT_MS
         };
-        for entry in self.entries.borrow().values().filter(|e| silent(e)) {
+        for entry in self.entries.borrow_mut().values_mut().filter(|e| silent(e)) {
+            entry.record.over(EndReason::ServerSilent, now);
             entry.pipe.down.end(End::Reset);
             if let Some(out) = &entry.out {
                 out.call_off.call(Outcome::Reset);
@@ -364,6 +369,7 @@
             *entry.pipe.handoff.borrow_mut() =
                 Some(Rc::new(Handoff { connection, client, host, to: to.clone() }));
             entry.phase = Phase::Over;
+            entry.record.over(EndReason::HandedOver, self.clock.now());
             entry.pipe.up.end(End::HandedOver);
             entry.pipe.down.end(End::HandedOver);
             out.call_off.call(Outcome::Cancelled);
@@ -395,6 +401,7 @@
             held: true,
             asks: session.is_some().then(NewRequest::default),
             taken_at: self.clock.now(),
+            record: RequestRecord::new(self.clock.now()),
         };
         pipe.session.set(session.is_some());
         self.entries.borrow_mut().insert(request, entry);
@@ -408,17 +415,9 @@
             resume.feed(SessionEvent::Adopt { request, server, passed });
         }
         let ticket = Ticket { exchange: exchange.clone(), id: request, wait_ms: f64::INFINITY };
-        let (sent_at, outcome) = (self.clock.now(), Outcome::Cancelled);
-        let errand = Errand {
-            exchange,
-            id: request,
-            attempt,
-            server,
-            call_off,
-            sent_at,
-            outcome,
-            asked: Cell::default(),
-        };
+        let (sent_at, end) = (self.clock.now(), None);
+        let errand =
+            Errand { exchange, id: request, attempt, server, call_off, sent_at, end, asked: Cell::default() };
         let descriptor = self.descriptors.adopt();
         let _ = self.orders.send(Order::Standing { socket: host, pipe: pipe.clone(), errand, descriptor });
         let descriptor = self.descriptors.adopt();
@@ -448,12 +447,12 @@
     }
 
     fn refuse_session(&self, id: RequestId, retry_after_ms: Millis) {
-        self.answer(id, line::busy(retry_after_ms));
+        self.answer(id, line::busy(retry_after_ms), EndReason::Session);
         self.core.feed(Event::ClientGone(id));
     }
 
     fn fail_session(&self, id: RequestId) {
-        self.answer(id, "ERR\r\n".into());
+        self.answer(id, "ERR\r\n".into(), EndReason::Session);
         self.core.feed(Event::ClientGone(id));
     }
 
@@ -462,7 +461,7 @@
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&id) else { return };
         if matches!(entry.phase, Phase::Standing) {
-            finish(entry, End::Farewell(last.into()));
+            self.finish(entry, End::Farewell(last.into()), EndReason::Session);
             drop(entries);
             self.closed(id);
             self.core.feed(Event::ClientGone(id));
@@ -530,7 +529,8 @@
         self.core.feed(Event::AnswerNow(id));
         // The decisions do not know one whose session is not its own yet; nothing was sent on for it.
         let unsent = self.entries.borrow().get(&id).is_none_or(|e| e.attempts == 0);
-        self.answer(id, if unsent { line::busy(0.0) } else { "ERR\r\n".into() });
+        let line = if unsent { line::busy(0.0) } else { "ERR\r\n".into() };
+        self.answer(id, line, EndReason::AnsweredAtOnce);
     }
 
     fn ids(&self, wanted: impl Fn(&Entry) -> bool) -> Vec<RequestId> {
@@ -543,13 +543,13 @@
     }
 
     /// Gives the final answer, if the client is still owed one.
-    fn answer(&self, id: RequestId, line: String) {
+    fn answer(&self, id: RequestId, line: String, reason: EndReason) {
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&id) else { return };
         if !matches!(entry.phase, Phase::Waiting) {
             return;
         }
-        finish(entry, End::Farewell(line));
+        self.finish(entry, End::Farewell(line), reason);
         drop(entries);
         self.closed(id);
         self.forget(id);
@@ -561,7 +561,9 @@
         let Some(entry) = entries.get_mut(&id) else { return };
         entry.held = false;
         let left = !matches!(entry.phase, Phase::Over);
-        finish(entry, End::Reset);
+        let waits = matches!(entry.phase, Phase::Waiting);
+        let reason = if waits { EndReason::ClientCancelled } else { EndReason::ClientClosed };
+        self.finish(entry, End::Reset, reason);
         drop(entries);
         if left {
             self.closed(id);
@@ -571,15 +573,20 @@
     }
 
     /// An attempt is over, and its socket closed.
-    fn attempt_ended(&self, id: RequestId, attempt: AttemptNo, outcome: Outcome) {
+    fn attempt_ended(&self, id: RequestId, attempt: AttemptNo, record: AttemptRecord) {
+        let outcome = record.end.outcome;
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&id) else { return };
+        entry.record.attempted(record);
         entry.out = None;
         if matches!(entry.phase, Phase::Standing) || outcome == Outcome::Ok {
             // What the form host sent last goes out first. A broken stream has ended for its
             // client as well; nothing may follow it.
-            let end = if outcome == Outcome::Reset { End::Reset } else { End::Closed };
-            finish(entry, end);
+            let (end, reason) = match outcome {
+                Outcome::Reset => (End::Reset, EndReason::ServerBroke),
+                _ => (End::Closed, EndReason::ServerClosed),
+            };
+            self.finish(entry, end, reason);
         }
         let closed = matches!(entry.phase, Phase::Over);
         let next = entry.next.take();
@@ -598,12 +605,27 @@
         self.forget(id);
     }
 
+    /// Ends a request for both sides: the client gets the end given, the attempt is called off.
+    fn finish(&self, entry: &mut Entry, end: End, reason: EndReason) {
+        let reset = end == End::Reset;
+        entry.record.over(reason, self.clock.now());
+        entry.phase = Phase::Over;
+        entry.next = None;
+        entry.pipe.down.end(end);
+        entry.pipe.up.end(if reset { End::Reset } else { End::Closed });
+        if let Some(out) = &entry.out {
+            out.call_off.call(Outcome::Cancelled);
+        }
+    }
+
     /// Gives up the entry of a request that is over and of which neither side holds anything.
     fn forget(&self, id: RequestId) {
         let mut entries = self.entries.borrow_mut();
         let done = |e: &Entry| matches!(e.phase, Phase::Over) && e.out.is_none() && !e.held;
-        if entries.get(&id).is_some_and(done) {
-            entries.remove(&id);
+        if entries.get(&id).is_some_and(done)
+            && let Some(entry) = entries.remove(&id)
+        {
+            entry.record.log(entry.opening.id);
         }
     }
 }
@@ -614,18 +636,6 @@
     aims.fold(f64::INFINITY, f64::min)
 }
 
-/// Ends a request for both sides: the client gets the end given, the attempt is called off.
-fn finish(entry: &mut Entry, end: End) {
-    let reset = end == End::Reset;
-    entry.phase = Phase::Over;
-    entry.next = None;
-    entry.pipe.down.end(end);
-    entry.pipe.up.end(if reset { End::Reset } else { End::Closed });
-    if let Some(out) = &entry.out {
-        out.call_off.call(Outcome::Cancelled);
-    }
-}
-
 impl Requests for Exchange {
     fn send(&self, id: RequestId, server: ServerId, timeout_ms: Millis) {
         let mut entries = self.entries.borrow_mut();
@@ -645,8 +655,10 @@
             way.and_then(|a| Some((a, self.descriptors.take(Purpose::Served)?)))
         else {
             let closed = matches!(entry.phase, Phase::Over);
-            drop(entries);
             let outcome = Outcome::NotSent;
+            let end = AttemptEnd::new(outcome, AttemptCause::NotSent);
+            entry.record.attempted(AttemptRecord { server, end, took_ms: 0.0 });
+            drop(entries);
             self.core.feed(Event::AttemptEnded { request: id, attempt, outcome, closed });
             return;
         };
@@ -659,7 +671,7 @@
             server,
             call_off,
             sent_at: self.clock.now(),
-            outcome: Outcome::Cancelled,
+            end: None,
             asked: Cell::default(),
         };
         let (opening, pipe) = (entry.opening.clone(), entry.pipe.clone());
@@ -688,18 +700,18 @@
     }
 
     fn refuse(&self, id: RequestId, retry_after_ms: Millis) {
-        self.answer(id, line::busy(retry_after_ms));
+        self.answer(id, line::busy(retry_after_ms), EndReason::Rejected);
     }
 
     fn fail(&self, id: RequestId) {
-        self.answer(id, "ERR\r\n".into());
+        self.answer(id, "ERR\r\n".into(), EndReason::Failed);
     }
 
     fn move_client(&self, id: RequestId) {
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&id) else { return };
         if matches!(entry.phase, Phase::Standing) {
-            finish(entry, End::Farewell("MOVE\r\n".into()));
+            self.finish(entry, End::Farewell("MOVE\r\n".into()), EndReason::Moved);
             drop(entries);
             self.closed(id);
         }
--- a/node/src/front/line.rs
+++ b/node/src/front/line.rs
@@ -5,7 +5,7 @@
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::{Descriptor, Descriptors, Purpose};
 use crate::io::places::{Place, Places};
-use crate::io::pump;
+use crate::io::pump::{self, Filled};
 use crate::io::ring::End;
 use crate::operations::tuning::Tuning;
 use crate::protocol::line::{self, Hello, LONGEST, Opening};
@@ -270,14 +270,18 @@
         let more = tokio::select! {
             () = self.overdue(&ticket) => false,
             left = &mut reading => match left {
-                Some(End::Closed) if pipe.standing() => {
+                Filled::Closed if pipe.standing() => {
                     pipe.up.end(End::Closed);
                     self.clock.within(LINGER_MS, &mut writing).await;
                     return;
                 }
-                // A client that leaves before its answer has given up.
-                Some(_) => return,
-                None => {
+                // A client that leaves before its answer has cancelled.
+                Filled::Closed | Filled::Stopped => return,
+                Filled::Broken(error) => {
+                    tracing::debug!(%error, "reading from a client failed");
+                    return;
+                }
+                Filled::DirectionEnded => {
                     // The form host is gone: nothing more is read, only what it said last goes out.
                     client_may_send = false;
                     self.clock.within(LINGER_MS, &mut writing).await.unwrap_or(false)
@@ -287,8 +291,10 @@
         };
         if more && client_may_send {
             // The form host has ended its sending; the client may still send.
-            if let Some(Some(end)) = self.clock.within(LINGER_MS, &mut reading).await {
-                return pipe.up.end(end);
+            match self.clock.within(LINGER_MS, &mut reading).await {
+                Some(Filled::Closed) => return pipe.up.end(End::Closed),
+                Some(Filled::Broken(_) | Filled::Stopped) => return pipe.up.end(End::Reset),
+                Some(Filled::DirectionEnded) | None => {}
             }
         }
         // The form host is gone, and what the client still says goes nowhere; but its last line must reach it.
@@ -363,8 +369,11 @@
         place.heard();
         !whole()
     };
-    if !whole() && pump::fill(stream, up, arrived).await != Some(End::Reset) || !whole() {
-        return Err(Unsound::Gone);
+    if whole() {
+        return Ok(());
+    }
+    match pump::fill(stream, up, arrived).await {
+        Filled::Stopped => Ok(()),
+        Filled::Closed | Filled::Broken(_) | Filled::DirectionEnded => Err(Unsound::Gone),
     }
-    Ok(())
 }
--- a/node/src/host/server.rs
+++ b/node/src/host/server.rs
@@ -1,15 +1,17 @@
 //! The server side: makes attempts and probes at form hosts. Knows nothing of clients.
 
+use crate::exchange::record::{AttemptCause, AttemptEnd, Broken};
 use crate::exchange::{Attempt, Errand, Order, Pipe, Probe};
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::Descriptor;
-use crate::io::pump;
+use crate::io::pump::{self, Filled};
 use crate::io::ring::{End, Ring};
 use crate::operations::tuning::Tuning;
 use crate::protocol::line::{self, LONGEST, Reply};
 use crate::protocol::session::{self, FromHost};
 use marllink::Outcome;
 use socket2::SockRef;
+use std::io;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,12 +26,23 @@
 const DROPPED: usize = 16 * 1024;
 
 /// Why there is no connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NoWay {
-    /// It was refused, or could not be tried for the usual time.
-    Refused,
-    /// Nothing came back in the time for that.
-    Silent,
+#[derive(Debug)]
+enum ConnectError {
+    /// It was refused, or could not be made.
+    Failed(io::Error),
+    /// Nothing came back, but it had less than the usual time.
+    CutShort,
+    /// Nothing came back in the usual time.
+    TimedOut,
+}
+
+impl From<ConnectError> for AttemptCause {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Failed(error) => Self::Connect(error),
+            ConnectError::CutShort | ConnectError::TimedOut => Self::ConnectTimedOut,
+        }
+    }
 }
 
 /// The server side.
@@ -50,12 +63,12 @@
                 match order {
                     Order::Attempt(attempt) => servers.attempt(attempt).await,
                     Order::Standing { socket, pipe, errand, descriptor } => {
-                        let outcome = tokio::select! {
+                        let end = tokio::select! {
                             biased;
-                            outcome = errand.called_off() => outcome,
-                            outcome = servers.stand(&socket, &pipe, &errand) => outcome,
+                            outcome = errand.called_off() => AttemptEnd::cancelled(outcome),
+                            end = servers.stand(&socket, &pipe, &errand) => end,
                         };
-                        servers.part(socket, descriptor, &pipe, errand, outcome).await;
+                        servers.part(socket, descriptor, &pipe, errand, end).await;
                     }
                     Order::Probe(probe) => servers.probe(probe).await,
                 }
@@ -76,19 +89,19 @@
         };
         let stream = tokio::select! {
             biased;
-            outcome = errand.called_off() => Err(outcome),
-            stream = connecting => stream.map_err(|no_way| {
-                if no_way == NoWay::Silent {
+            outcome = errand.called_off() => Err(AttemptEnd::cancelled(outcome)),
+            stream = connecting => stream.map_err(|error| {
+                if matches!(error, ConnectError::TimedOut) {
                     errand.no_connection();
                 }
-                Outcome::ConnectFailed
+                AttemptEnd::new(Outcome::ConnectFailed, error.into())
             }),
         };
         match stream {
             // What was open before goes to its form host, draining or not.
             Ok(stream) if opening.at.is_none() && !errand.may_begin() => {
                 drop((stream, descriptor));
-                errand.end(Outcome::NotSent);
+                errand.end(AttemptEnd::new(Outcome::NotSent, AttemptCause::ServerDraining));
             }
             Ok(stream) => {
                 let talk = async {
@@ -96,31 +109,31 @@
                     let head = opening.for_host(left, held_as.as_deref());
                     match self.set_up(&stream, &head, left, &pipe, &errand).await {
                         Ok(()) => self.stand(&stream, &pipe, &errand).await,
-                        Err(outcome) => outcome,
+                        Err(end) => end,
                     }
                 };
-                let outcome = tokio::select! {
+                let end = tokio::select! {
                     biased;
-                    outcome = errand.called_off() => outcome,
-                    outcome = talk => outcome,
+                    outcome = errand.called_off() => AttemptEnd::cancelled(outcome),
+                    end = talk => end,
                 };
-                self.part(stream, descriptor, &pipe, errand, outcome).await;
+                self.part(stream, descriptor, &pipe, errand, end).await;
             }
-            Err(outcome) => {
+            Err(end) => {
                 drop(descriptor);
-                errand.end(outcome);
+                errand.end(end);
             }
         }
     }
 
-    async fn connect(&self, address: SocketAddr, wait_ms: Millis) -> Result<TcpStream, NoWay> {
+    async fn connect(&self, address: SocketAddr, wait_ms: Millis) -> Result<TcpStream, ConnectError> {
         let usual = self.tuning.now().decisions.limits.connect_timeout_ms;
         let stream = match self.clock.within(usual.min(wait_ms), TcpStream::connect(address)).await {
             Some(Ok(stream)) => stream,
-            Some(Err(_)) => return Err(NoWay::Refused),
+            Some(Err(error)) => return Err(ConnectError::Failed(error)),
             // One that was not given the usual time tells nothing.
-            None if wait_ms < usual => return Err(NoWay::Refused),
-            None => return Err(NoWay::Silent),
+            None if wait_ms < usual => return Err(ConnectError::CutShort),
+            None => return Err(ConnectError::TimedOut),
         };
         // Lines are short and must not wait for others.
         let _ = stream.set_nodelay(true);
@@ -135,12 +148,15 @@
         wait_ms: Millis,
         pipe: &Pipe,
         errand: &Errand,
-    ) -> Result<(), Outcome> {
+    ) -> Result<(), AttemptEnd> {
         let until = self.clock.now() + wait_ms;
         // A line whose last byte was not written has not been heard.
         match self.clock.within(wait_ms, pump::write_all(stream, head)).await {
             Some(Ok(())) => {}
-            Some(Err(_)) | None => return Err(Outcome::ConnectFailed),
+            Some(Err(error)) => {
+                return Err(AttemptEnd::new(Outcome::ConnectFailed, AttemptCause::Write(error)));
+            }
+            None => return Err(AttemptEnd::new(Outcome::ConnectFailed, AttemptCause::WriteTimedOut)),
         }
         let down = &pipe.down;
         let left = until - self.clock.now();
@@ -162,33 +178,48 @@
         } else {
             self.clock.within(left, first_line(stream, down)).await
         };
-        let outcome = match answer.as_ref().map(|line| line.as_deref().map(line::reply)) {
+        let line = match answer {
+            Some(Ok(line)) => line,
             // One that waits for its keepers is not to blame.
-            None if pipe.session.get() && errand.asks() => Outcome::Cancelled,
-            None => Outcome::TimedOut,
-            Some(None) => Outcome::Reset,
+            None if pipe.session.get() && errand.asks() => {
+                down.discard(down.held());
+                return Err(AttemptEnd::new(Outcome::Cancelled, AttemptCause::NoAnswer));
+            }
+            None => {
+                down.discard(down.held());
+                return Err(AttemptEnd::new(Outcome::TimedOut, AttemptCause::NoAnswer));
+            }
+            Some(Err(broken)) => {
+                down.discard(down.held());
+                return Err(AttemptEnd::new(Outcome::Reset, AttemptCause::NoWholeAnswer(broken)));
+            }
+        };
+        let outcome = match line::reply(&line) {
             // It has a session that nobody gave it.
-            Some(Some(Reply::Up)) if pipe.session.get() && !errand.leased() => Outcome::Error,
-            Some(Some(Reply::Up)) => {
-                let line = answer.flatten().unwrap_or_default();
+            Reply::Up if pipe.session.get() && !errand.leased() => Outcome::Error,
+            Reply::Up => {
                 down.commit(line.len());
-                return if errand.established() { Ok(()) } else { Err(Outcome::Cancelled) };
+                return if errand.established() {
+                    Ok(())
+                } else {
+                    Err(AttemptEnd::cancelled(Outcome::Cancelled))
+                };
             }
-            Some(Some(Reply::Bye(_))) => {
+            Reply::Bye(_) => {
                 down.commit(down.held());
-                return Err(Outcome::Ok);
+                return Err(AttemptEnd::new(Outcome::Ok, AttemptCause::Answered));
             }
-            Some(Some(Reply::Move)) => Outcome::Cancelled,
-            Some(Some(Reply::Busy(_))) => Outcome::Full,
-            Some(Some(_)) => Outcome::Error,
+            Reply::Move => Outcome::Cancelled,
+            Reply::Busy(_) => Outcome::Full,
+            _ => Outcome::Error,
         };
         // Nothing of this answer is for the client: the next attempt's comes in its place.
         down.discard(down.held());
-        Err(outcome)
+        Err(AttemptEnd::new(outcome, AttemptCause::Answered))
     }
 
     /// Passes lines on until the connection ends.
-    async fn stand(&self, stream: &TcpStream, pipe: &Pipe, errand: &Errand) -> Outcome {
+    async fn stand(&self, stream: &TcpStream, pipe: &Pipe, errand: &Errand) -> AttemptEnd {
         let last = &pipe.last_word;
         let arrived = || pass_lines(pipe, errand);
         // Lines may have come along with the first.
@@ -209,38 +240,42 @@
             more = &mut writing => {
                 // The client has ended its sending; the form host may still send.
                 let end = if more { self.clock.within(LINGER_MS, &mut reading).await } else { None };
-                (end.unwrap_or(Some(End::Reset)), true)
+                (end.unwrap_or(Filled::Stopped), true)
             }
         };
         match end {
-            Some(End::Closed) => {
+            Filled::Closed => {
                 pipe.down.end(End::Closed);
                 // A host that has said its last word wants nothing more from the client.
                 if let Some(outcome) = last.get() {
-                    return outcome;
+                    return AttemptEnd::new(outcome, AttemptCause::ServerClosed);
                 }
                 if client_left {
-                    return Outcome::Cancelled;
+                    return AttemptEnd::new(Outcome::Cancelled, AttemptCause::ClientClosed);
                 }
                 // The form host has ended its sending; the client may still send.
                 self.clock.within(LINGER_MS, &mut writing).await;
-                Outcome::Reset
+                AttemptEnd::new(Outcome::Reset, AttemptCause::Broken(Broken::EndOfStream))
+            }
+            Filled::DirectionEnded => AttemptEnd::cancelled(Outcome::Cancelled),
+            _ if client_left => AttemptEnd::new(Outcome::Cancelled, AttemptCause::ClientClosed),
+            _ if pipe.down.held() > LONGEST => Self::endless(pipe),
+            Filled::Broken(error) => {
+                pipe.down.end(End::Reset);
+                AttemptEnd::new(Outcome::Reset, AttemptCause::Broken(Broken::Read(error)))
             }
-            Some(_) if client_left => Outcome::Cancelled,
-            Some(_) if pipe.down.held() > LONGEST => Self::endless(pipe),
-            Some(_) => {
+            Filled::Stopped => {
                 pipe.down.end(End::Reset);
-                Outcome::Reset
+                AttemptEnd::new(Outcome::Reset, AttemptCause::Broken(Broken::Abandoned))
             }
-            None => Outcome::Cancelled,
         }
     }
 
     /// What the host sends is no line, and none can come after it. Its client has nothing of it and can be sent away
     /// between two lines.
-    fn endless(pipe: &Pipe) -> Outcome {
+    fn endless(pipe: &Pipe) -> AttemptEnd {
         pipe.down.end(End::Farewell("MOVE\r\n".into()));
-        Outcome::Reset
+        AttemptEnd::new(Outcome::Reset, AttemptCause::EndlessLine)
     }
 
     /// Asks a form host for its load.
@@ -251,14 +286,14 @@
         let asking = async {
             let stream = match self.connect(address, PROBE_MS).await {
                 Ok(stream) => stream,
-                Err(NoWay::Silent) => {
+                Err(ConnectError::TimedOut) => {
                     result.no_connection();
                     return None;
                 }
-                Err(NoWay::Refused) => return None,
+                Err(ConnectError::Failed(_) | ConnectError::CutShort) => return None,
             };
             pump::write_all(&stream, question).await.ok()?;
-            let line = first_line(&stream, &Ring::new()).await?;
+            let line = first_line(&stream, &Ring::new()).await.ok()?;
             match line::reply(&line) {
                 Reply::Pong(report) => Some(report),
                 _ => None,
@@ -280,7 +315,7 @@
         descriptor: Descriptor,
         pipe: &Pipe,
         errand: Errand,
-        outcome: Outcome,
+        end: AttemptEnd,
     ) {
         if pipe.session.get() && !pipe.handed_over() {
             let _ = SockRef::from(&socket).shutdown(Shutdown::Write);
@@ -294,13 +329,13 @@
             pump::drop_unread(&socket);
         }
         pipe.part_from_host(socket, descriptor);
-        errand.end(outcome);
+        errand.end(end);
     }
 }
 
 /// Reads the answer of a form host that is to hold a session: before that it asks for a lease, and is
 /// told what has been saved.
-async fn session_answer(stream: &TcpStream, pipe: &Pipe, errand: &Errand) -> Option<Vec<u8>> {
+async fn session_answer(stream: &TcpStream, pipe: &Pipe, errand: &Errand) -> Result<Vec<u8>, Broken> {
     let telling = async {
         loop {
             pipe.to_host.some().await;
@@ -312,7 +347,7 @@
     let hearing = async {
         loop {
             let line = first_line(stream, &pipe.down).await?;
-            let Some(FromHost::Renew(k)) = session::from_host(&line) else { return Some(line) };
+            let Some(FromHost::Renew(k)) = session::from_host(&line) else { return Ok(line) };
             pipe.down.discard(line.len());
             errand.renews(k);
         }
@@ -320,15 +355,21 @@
     tokio::select! {
         biased;
         line = hearing => line,
-        () = telling => None,
+        () = telling => Err(Broken::Abandoned),
     }
 }
 
-/// Reads a first line, and leaves it held; `None` if the connection ends before, or it is too long.
-async fn first_line(stream: &TcpStream, ring: &Ring) -> Option<Vec<u8>> {
+/// Reads a first line, and leaves it held.
+async fn first_line(stream: &TcpStream, ring: &Ring) -> Result<Vec<u8>, Broken> {
     let whole = || ring.line().is_some() || ring.held() > LONGEST;
-    pump::fill(stream, ring, || !whole()).await;
-    ring.line().filter(|line| line.len() <= LONGEST)
+    let filled = pump::fill(stream, ring, || !whole()).await;
+    let line = ring.line().filter(|line| line.len() <= LONGEST);
+    line.ok_or(match filled {
+        Filled::Closed => Broken::EndOfStream,
+        Filled::Broken(error) => Broken::Read(error),
+        Filled::Stopped => Broken::NoLine,
+        Filled::DirectionEnded => Broken::Abandoned,
+    })
 }
 
 /// Passes whole lines on to the client, so that it can be told to move between two of them at any
--- a/node/src/io/pump.rs
+++ b/node/src/io/pump.rs
@@ -10,29 +10,42 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+/// Why a ring is filled no further.
+#[derive(Debug)]
+pub enum Filled {
+    /// The sender has ended its sending.
+    Closed,
+    /// The connection broke.
+    Broken(io::Error),
+    /// What arrived was enough, or too much.
+    Stopped,
+    /// The direction has ended.
+    DirectionEnded,
+}
+
 /// Fills the ring with what the socket brings, until the sender ends its sending, the connection
 /// breaks, or the direction ends; `arrived` is called after each fill and tells whether to go on.
-/// Tells how the sender ended, and leaves it to the caller to end the direction likewise.
-pub async fn fill(stream: &TcpStream, ring: &Ring, mut arrived: impl FnMut() -> bool) -> Option<End> {
+/// It is left to the caller to end the direction likewise.
+pub async fn fill(stream: &TcpStream, ring: &Ring, mut arrived: impl FnMut() -> bool) -> Filled {
     while ring.room().await {
         // The direction may end while nothing comes.
         let readable = tokio::select! {
             readable = stream.readable() => readable,
-            () = ring.closed() => return None,
+            () = ring.closed() => return Filled::DirectionEnded,
         };
         // Both may be true. What would be read now would be lost to who goes on with the connection.
         if ring.ended() {
-            return None;
+            return Filled::DirectionEnded;
         }
         match readable.and_then(|()| ring.fill(|room| stream.try_read(room))) {
-            Ok(0) => return Some(End::Closed),
+            Ok(0) => return Filled::Closed,
             Ok(_) if arrived() => {}
-            Ok(_) => return Some(End::Reset),
+            Ok(_) => return Filled::Stopped,
             Err(e) if again(&e) => {}
-            Err(_) => return Some(End::Reset),
+            Err(error) => return Filled::Broken(error),
         }
     }
-    None
+    Filled::DirectionEnded
 }
 
 /// Sends what the ring holds, and ends the direction on the socket as it ended in the ring. True
