Try again to restore a connection whose server refuses it for a moment

Cause: such a connection has one server and had one attempt; the decisions hold it for established, so that a failed connect ended it, and nobody tried again. Why it works: a refusal of a moment is over at a later try, and the one final answer is still given by the handle when time is over.

--- a/node/src/exchange/holders.rs
+++ b/node/src/exchange/holders.rs
@@ -91,10 +91,10 @@
     /// Waits until the attempt is ended from the exchange's side, and tells how it has ended.
     pub async fn called_off(&self) -> Outcome {
         loop {
-            self.call_off.called.notified().await;
             if let Some(outcome) = self.call_off.outcome.get() {
                 return outcome;
             }
+            self.call_off.called.notified().await;
         }
     }
 
@@ -199,6 +199,14 @@
         self.exchange.core.feed(Event::Silent { server: self.server, sign: Sign::NoConnection });
     }
 
+    /// One try to restore the connection has failed, and another one follows. To be called once its socket is closed.
+    pub fn failed_once(&self, end: AttemptEnd) {
+        let took_ms = self.exchange.clock.now() - self.sent_at;
+        if let Some(entry) = self.exchange.entries.borrow_mut().get_mut(&self.id) {
+            entry.record.attempted(AttemptRecord { server: self.server, end, took_ms });
+        }
+    }
+
     /// How the attempt ended. To be called once its socket is closed.
     pub fn end(mut self, end: AttemptEnd) {
         self.end = Some(end);
--- a/node/src/exchange/mod.rs
+++ b/node/src/exchange/mod.rs
@@ -23,9 +23,9 @@
 use crate::protocol::line::{self, Opening};
 use crate::protocol::session::{self, FromClient};
 pub use holders::{Errand, ProbeResult, Ticket};
-use marllink::{AttemptNo, ClassId, Event, NewRequest, Outcome, RequestId, ServerId, Sign, TenantId};
+use marllink::{AttemptNo, ClassId, Effect, Event, NewRequest, Outcome, RequestId, ServerId, Sign, TenantId};
 use marllink_sessions::{Ask, Event as SessionEvent};
-pub use orders::{Adopted, Attempt, Order, Probe};
+pub use orders::{Adopted, Attempt, Order, Probe, Restores};
 use pipe::Handoff;
 pub use pipe::{Passed, Pipe, Socket};
 use record::{AttemptCause, AttemptEnd, AttemptRecord, EndReason, RequestRecord};
@@ -618,6 +618,17 @@
         }
     }
 
+    /// How attempts to restore a connection of this class may be repeated.
+    fn restores(&self, class: &str) -> Restores {
+        let settings = self.tuning.now();
+        let number = settings.names.classes.number(class);
+        let class = number.and_then(|number| settings.decisions.classes.get(usize::from(number)));
+        match class.map(|class| class.effect) {
+            Some(Effect::Safe) => Restores::Always,
+            Some(_) | None => Restores::IfNeverRan,
+        }
+    }
+
     /// Gives up the entry of a request that is over and of which neither side holds anything.
     fn forget(&self, id: RequestId) {
         let mut entries = self.entries.borrow_mut();
@@ -683,7 +694,9 @@
             resume.feed(SessionEvent::Attempt { request: id, server });
             resume.held_as(id)
         });
-        let attempt = Attempt { held_as, address, opening, wait_ms: timeout_ms, pipe, errand, descriptor };
+        let restores = opening.at.is_some().then(|| self.restores(&opening.class));
+        let wait_ms = timeout_ms;
+        let attempt = Attempt { held_as, address, opening, wait_ms, restores, pipe, errand, descriptor };
         // If the server side has ended, so has the program; the errand's drop ends the attempt.
         let _ = self.orders.send(Order::Attempt(attempt));
     }
--- a/node/src/exchange/orders.rs
+++ b/node/src/exchange/orders.rs
@@ -4,6 +4,7 @@
 use crate::io::clock::Millis;
 use crate::io::descriptors::Descriptor;
 use crate::protocol::line::Opening;
+use marllink::Outcome;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -52,6 +53,8 @@
     pub held_as: Option<String>,
     /// How long the attempt may take until it stands.
     pub wait_ms: Millis,
+    /// Set for a connection that was open at this server before: it is tried again there.
+    pub restores: Option<Restores>,
     /// The connection's two directions.
     pub pipe: Rc<Pipe>,
     /// Tells the exchange what becomes of it.
@@ -60,6 +63,26 @@
     pub descriptor: Descriptor,
 }
 
+/// Which failed attempts to restore a connection may be repeated at the same server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Restores {
+    /// Those that have surely not run.
+    IfNeverRan,
+    /// All: requests of its class may run twice.
+    Always,
+}
+
+impl Restores {
+    /// True if an attempt that has ended like this may be repeated.
+    pub fn may_repeat(self, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::ConnectFailed | Outcome::Full | Outcome::NotSent => true,
+            Outcome::Reset | Outcome::TimedOut | Outcome::Error => self == Self::Always,
+            Outcome::Ok | Outcome::Cancelled => false,
+        }
+    }
+}
+
 /// A probe to be made.
 #[derive(Debug)]
 pub struct Probe {
--- a/node/src/host/server.rs
+++ b/node/src/host/server.rs
@@ -2,12 +2,13 @@
 
 use crate::exchange::record::{AttemptCause, AttemptEnd, Broken};
 use crate::exchange::{Attempt, Errand, Order, Pipe, Probe};
+use crate::host::backoff::Backoff;
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::Descriptor;
 use crate::io::pump::{self, Filled};
 use crate::io::ring::{End, Ring};
 use crate::operations::tuning::Tuning;
-use crate::protocol::line::{self, LONGEST, Reply};
+use crate::protocol::line::{self, LONGEST, Opening, Reply};
 use crate::protocol::session::{self, FromHost};
 use marllink::Outcome;
 use socket2::SockRef;
@@ -45,6 +46,15 @@
     }
 }
 
+/// What is needed to establish a connection.
+struct SetUp {
+    address: SocketAddr,
+    opening: Rc<Opening>,
+    held_as: Option<String>,
+    /// When the client's time is over.
+    until: Millis,
+}
+
 /// The server side.
 #[derive(Clone)]
 pub struct Servers {
@@ -77,11 +87,50 @@
     }
 
     /// Makes an attempt and, if it stands, carries its connection to the end.
+    ///
+    /// Nobody else can try again for a connection that is restored, as it belongs to this server: that is
+    /// done here, until its client's time is over.
     async fn attempt(&self, attempt: Attempt) {
-        let Attempt { address, opening, held_as, wait_ms, pipe, errand, descriptor } = attempt;
-        let until = self.clock.now() + wait_ms;
+        let Attempt { address, opening, held_as, wait_ms, restores, pipe, errand, descriptor } = attempt;
+        let setup = SetUp { address, opening, held_as, until: self.clock.now() + wait_ms };
+        let mut backoff = Backoff::default();
+        let established = loop {
+            let end = match self.establish(&setup, &pipe, &errand).await {
+                Ok(stream) => break Ok(stream),
+                Err(end) => end,
+            };
+            let wait_ms = backoff.next_wait();
+            let may_repeat = restores.is_some_and(|restores| restores.may_repeat(end.outcome));
+            if !may_repeat || self.clock.now() + wait_ms >= setup.until {
+                break Err(end);
+            }
+            errand.failed_once(end);
+            tokio::select! {
+                biased;
+                outcome = errand.called_off() => break Err(AttemptEnd::cancelled(outcome)),
+                () = self.clock.sleep(wait_ms) => {}
+            }
+        };
+        match established {
+            Ok(stream) => {
+                let end = tokio::select! {
+                    biased;
+                    outcome = errand.called_off() => AttemptEnd::cancelled(outcome),
+                    end = self.stand(&stream, &pipe, &errand) => end,
+                };
+                self.part(stream, descriptor, &pipe, errand, end).await;
+            }
+            Err(end) => {
+                drop(descriptor);
+                errand.end(end);
+            }
+        }
+    }
+
+    /// Connects, sends the first line and waits for the answer. The socket is closed again if that fails.
+    async fn establish(&self, setup: &SetUp, pipe: &Pipe, errand: &Errand) -> Result<TcpStream, AttemptEnd> {
         let connecting = async {
-            let stream = self.connect(address, wait_ms).await;
+            let stream = self.connect(setup.address, setup.until - self.clock.now()).await;
             // Its client may have left in the same instant: whatever has happened by now is heard of before the first
             // byte.
             tokio::task::yield_now().await;
@@ -89,39 +138,30 @@
         };
         let stream = tokio::select! {
             biased;
-            outcome = errand.called_off() => Err(AttemptEnd::cancelled(outcome)),
+            outcome = errand.called_off() => return Err(AttemptEnd::cancelled(outcome)),
             stream = connecting => stream.map_err(|error| {
                 if matches!(error, ConnectError::TimedOut) {
                     errand.no_connection();
                 }
                 AttemptEnd::new(Outcome::ConnectFailed, error.into())
-            }),
+            })?,
         };
-        match stream {
-            // What was open before goes to its form host, draining or not.
-            Ok(stream) if opening.at.is_none() && !errand.may_begin() => {
-                drop((stream, descriptor));
-                errand.end(AttemptEnd::new(Outcome::NotSent, AttemptCause::ServerDraining));
-            }
-            Ok(stream) => {
-                let talk = async {
-                    let left = until - self.clock.now();
-                    let head = opening.for_host(left, held_as.as_deref());
-                    match self.set_up(&stream, &head, left, &pipe, &errand).await {
-                        Ok(()) => self.stand(&stream, &pipe, &errand).await,
-                        Err(end) => end,
-                    }
-                };
-                let end = tokio::select! {
-                    biased;
-                    outcome = errand.called_off() => AttemptEnd::cancelled(outcome),
-                    end = talk => end,
-                };
-                self.part(stream, descriptor, &pipe, errand, end).await;
-            }
+        // What was open before goes to its form host, draining or not.
+        if setup.opening.at.is_none() && !errand.may_begin() {
+            return Err(AttemptEnd::new(Outcome::NotSent, AttemptCause::ServerDraining));
+        }
+        let left = setup.until - self.clock.now();
+        let head = setup.opening.for_host(left, setup.held_as.as_deref());
+        let answered = tokio::select! {
+            biased;
+            outcome = errand.called_off() => Err(AttemptEnd::cancelled(outcome)),
+            answered = self.set_up(&stream, &head, left, pipe, errand) => answered,
+        };
+        match answered {
+            Ok(()) => Ok(stream),
             Err(end) => {
-                drop(descriptor);
-                errand.end(end);
+                self.finish_socket(&stream, pipe, errand).await;
+                Err(end)
             }
         }
     }
@@ -317,19 +357,24 @@
         errand: Errand,
         end: AttemptEnd,
     ) {
+        self.finish_socket(&socket, pipe, &errand).await;
+        pipe.part_from_host(socket, descriptor);
+        errand.end(end);
+    }
+
+    /// Prepares a server's socket for its close.
+    async fn finish_socket(&self, socket: &TcpStream, pipe: &Pipe, errand: &Errand) {
         if pipe.session.get() && !pipe.handed_over() {
-            let _ = SockRef::from(&socket).shutdown(Shutdown::Write);
-            let rest = async { while let Ok(true) = pump::discard(&socket, DROPPED).await {} };
+            let _ = SockRef::from(socket).shutdown(Shutdown::Write);
+            let rest = async { while let Ok(true) = pump::discard(socket, DROPPED).await {} };
             self.clock.within(errand.hold_ms(), rest).await;
         }
         if pipe.up.broken() {
-            pump::reset(&socket);
+            pump::reset(socket);
         } else if !pipe.handed_over() {
             // A close over unread bytes would be a reset, and a client's last lines may go with it.
-            pump::drop_unread(&socket);
+            pump::drop_unread(socket);
         }
-        pipe.part_from_host(socket, descriptor);
-        errand.end(end);
     }
 }
 
