Blame no server for a connect that fails on this machine, and make it again

Callers saw: where connect fails for a moment for lack of buffers, ports or descriptors, the server counts as failed, is left out for seconds, and with one server the client is told BUSY. Cause: any error of connect was taken for the server's; the same mistake stood in attempts, probes, calls to discovery, links and the check of an old list's servers. Change: io::connect makes a connect that failed locally again until its time is over and tells the three cases apart; an attempt that could not leave this machine is not sent, which blames nobody. Used at all five places.

--- a/node/src/exchange/record.rs
+++ b/node/src/exchange/record.rs
@@ -1,6 +1,7 @@
 //! What is written down of each request: its attempts, why it ended, and how long that took.
 
 use crate::io::clock::Millis;
+use crate::io::connect::ConnectError;
 use marllink::{Outcome, ServerId};
 use std::io;
 
@@ -54,10 +55,7 @@
     NotSent,
     /// Connecting failed.
     #[error("connect: {0}")]
-    Connect(io::Error),
-    /// No connection came up in time.
-    #[error("connect timed out")]
-    ConnectTimedOut,
+    Connect(ConnectError),
     /// Sending the first line failed.
     #[error("write: {0}")]
     Write(io::Error),
--- a/node/src/host/links.rs
+++ b/node/src/host/links.rs
@@ -2,6 +2,7 @@
 
 use crate::exchange::resume::Resume;
 use crate::io::clock::{Clock, Millis};
+use crate::io::connect::connect;
 use crate::io::descriptors::Descriptor;
 use crate::io::pump::{self, Between};
 use marllink::ServerId;
@@ -24,7 +25,7 @@
     words: Rc<Between>,
     descriptor: Descriptor,
 ) {
-    let reason = match clock.within(LINK_MS, greet(address, owner)).await {
+    let reason = match clock.within(LINK_MS, greet(&clock, address, owner)).await {
         None => "no answer in time".to_owned(),
         Some(Err(reason)) => reason,
         Some(Ok((stream, incarnation, frames))) => {
@@ -44,8 +45,8 @@
     }
 }
 
-async fn greet(address: SocketAddr, owner: u64) -> Result<(TcpStream, u64, Frames), String> {
-    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+async fn greet(clock: &Clock, address: SocketAddr, owner: u64) -> Result<(TcpStream, u64, Frames), String> {
+    let stream = connect(clock, address, LINK_MS).await.map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
     pump::write_all(&stream, keep::hello(owner).as_bytes()).await.map_err(|e| e.to_string())?;
     let mut frames = Frames::default();
--- a/node/src/host/server.rs
+++ b/node/src/host/server.rs
@@ -4,6 +4,7 @@
 use crate::exchange::{Attempt, Errand, Order, Pipe, Probe};
 use crate::host::backoff::Backoff;
 use crate::io::clock::{Clock, Millis};
+use crate::io::connect::{ConnectError, connect};
 use crate::io::descriptors::Descriptor;
 use crate::io::pump::{self, Filled};
 use crate::io::ring::{End, Ring};
@@ -12,7 +13,6 @@
 use crate::protocol::session::{self, FromHost};
 use marllink::Outcome;
 use socket2::SockRef;
-use std::io;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,26 +26,6 @@
 /// What a form host still says that nobody waits for is dropped in pieces of this size.
 const DROPPED: usize = 16 * 1024;
 
-/// Why there is no connection.
-#[derive(Debug)]
-enum ConnectError {
-    /// It was refused, or could not be made.
-    Failed(io::Error),
-    /// Nothing came back, but it had less than the usual time.
-    CutShort,
-    /// Nothing came back in the usual time.
-    TimedOut,
-}
-
-impl From<ConnectError> for AttemptCause {
-    fn from(error: ConnectError) -> Self {
-        match error {
-            ConnectError::Failed(error) => Self::Connect(error),
-            ConnectError::CutShort | ConnectError::TimedOut => Self::ConnectTimedOut,
-        }
-    }
-}
-
 /// What is needed to establish a connection.
 struct SetUp {
     address: SocketAddr,
@@ -130,7 +110,8 @@
     /// Connects, sends the first line and waits for the answer. The socket is closed again if that fails.
     async fn establish(&self, setup: &SetUp, pipe: &Pipe, errand: &Errand) -> Result<TcpStream, AttemptEnd> {
         let connecting = async {
-            let stream = self.connect(setup.address, setup.until - self.clock.now()).await;
+            let left = setup.until - self.clock.now();
+            let stream = self.connect(setup.address, left, || errand.no_connection()).await;
             // Its client may have left in the same instant: whatever has happened by now is heard of before the first
             // byte.
             tokio::task::yield_now().await;
@@ -140,10 +121,11 @@
             biased;
             outcome = errand.called_off() => return Err(AttemptEnd::cancelled(outcome)),
             stream = connecting => stream.map_err(|error| {
-                if matches!(error, ConnectError::TimedOut) {
-                    errand.no_connection();
-                }
-                AttemptEnd::new(Outcome::ConnectFailed, error.into())
+                let outcome = match error {
+                    ConnectError::Local(_) => Outcome::NotSent,
+                    ConnectError::Failed(_) | ConnectError::TimedOut => Outcome::ConnectFailed,
+                };
+                AttemptEnd::new(outcome, AttemptCause::Connect(error))
             })?,
         };
         // What was open before goes to its form host, draining or not.
@@ -166,15 +148,20 @@
         }
     }
 
-    async fn connect(&self, address: SocketAddr, wait_ms: Millis) -> Result<TcpStream, ConnectError> {
+    /// Connects within the usual time, or less; `silent` is called if nothing came back in all of the usual time.
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        wait_ms: Millis,
+        silent: impl FnOnce(),
+    ) -> Result<TcpStream, ConnectError> {
         let usual = self.tuning.now().decisions.limits.connect_timeout_ms;
-        let stream = match self.clock.within(usual.min(wait_ms), TcpStream::connect(address)).await {
-            Some(Ok(stream)) => stream,
-            Some(Err(error)) => return Err(ConnectError::Failed(error)),
-            // One that was not given the usual time tells nothing.
-            None if wait_ms < usual => return Err(ConnectError::CutShort),
-            None => return Err(ConnectError::TimedOut),
-        };
+        let connected = connect(&self.clock, address, usual.min(wait_ms)).await;
+        // One that was not given the usual time tells nothing.
+        if matches!(connected, Err(ConnectError::TimedOut)) && wait_ms >= usual {
+            silent();
+        }
+        let stream = connected?;
         // Lines are short and must not wait for others.
         let _ = stream.set_nodelay(true);
         Ok(stream)
@@ -324,14 +311,7 @@
         let reports = !self.tuning.now().names.report_fields.is_empty();
         let question: &[u8] = if reports { b"STATS\r\n" } else { b"PING\r\n" };
         let asking = async {
-            let stream = match self.connect(address, PROBE_MS).await {
-                Ok(stream) => stream,
-                Err(ConnectError::TimedOut) => {
-                    result.no_connection();
-                    return None;
-                }
-                Err(ConnectError::Failed(_) | ConnectError::CutShort) => return None,
-            };
+            let stream = self.connect(address, PROBE_MS, || result.no_connection()).await.ok()?;
             pump::write_all(&stream, question).await.ok()?;
             let line = first_line(&stream, &Ring::new()).await.ok()?;
             match line::reply(&line) {
--- a/node/src/membership/discovery.rs
+++ b/node/src/membership/discovery.rs
@@ -10,6 +10,7 @@
 use crate::core::{Core, Membership};
 use crate::exchange::resume::Resume;
 use crate::io::clock::{Clock, Millis};
+use crate::io::connect::connect;
 use crate::io::pump;
 use crate::membership::directory::Directory;
 use crate::protocol::discovery::{self as syntax, List, Said, Target};
@@ -215,8 +216,7 @@
     /// Tells why there is none: the service can't be reached, refuses it, breaks, or does not answer in time.
     async fn call(&self, path: &str) -> Result<Body, String> {
         let host = self.address.get();
-        let stream = self.clock.within(CONNECT_MS, TcpStream::connect(host)).await;
-        let stream = stream.ok_or("no connection")?.map_err(|e| e.to_string())?;
+        let stream = connect(&self.clock, host, CONNECT_MS).await.map_err(|e| e.to_string())?;
         let patience = match (self.pushed, self.busy.replace(true)) {
             (true, _) => PUSHED_ANSWER_MS,
             (false, false) => ANSWER_MS,
--- a/node/src/operations/state.rs
+++ b/node/src/operations/state.rs
@@ -7,6 +7,7 @@
 
 use crate::core::Core;
 use crate::io::clock::{Clock, Millis};
+use crate::io::connect::connect;
 use crate::io::descriptors::{Descriptors, Purpose};
 use crate::io::pump;
 use crate::membership::directory::Directory;
@@ -23,7 +24,6 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::{Rc, Weak};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Under which name the list is kept.
@@ -237,7 +237,7 @@
     async fn is_there(&self, host: ServerId) -> bool {
         let Some(_descriptor) = self.parts.descriptors.take(Purpose::Served) else { return false };
         let Some(address) = self.parts.directory.address(host) else { return false };
-        let Ok(stream) = TcpStream::connect(address).await else { return false };
+        let Ok(stream) = connect(&self.parts.clock, address, ANSWER_MS).await else { return false };
         if !self.parts.tuning.now().decisions.limits.probe {
             return true;
         }
