Make a read or write again that the system was short of memory or buffers for

Callers saw: one recv with ENOMEM or send with ENOBUFS ended a client's request unanswered, or was taken for a server's reset. Cause: every error but EAGAIN and EINTR was taken for the end of the connection; dropping unread bytes before a close stopped at any error, EINTR too, so that the close became a reset.

--- a/node/src/io/pump.rs
+++ b/node/src/io/pump.rs
@@ -1,6 +1,7 @@
 //! Moves bytes between a socket and a ring.
 
 use crate::io::ring::{End, Ring};
+use crate::io::transient;
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::io;
@@ -41,8 +42,11 @@
             Ok(0) => return Filled::Closed,
             Ok(_) if arrived() => {}
             Ok(_) => return Filled::Stopped,
-            Err(e) if again(&e) => {}
-            Err(error) => return Filled::Broken(error),
+            Err(error) => {
+                if let Err(error) = passing(error).await {
+                    return Filled::Broken(error);
+                }
+            }
         }
     }
     Filled::DirectionEnded
@@ -55,10 +59,10 @@
         match ring.ready().await {
             None => {
                 let written = stream.writable().await;
-                match written.and_then(|()| ring.empty(|bytes| stream.try_write(bytes))) {
-                    Ok(_) => {}
-                    Err(e) if again(&e) => {}
-                    Err(_) => return false,
+                if let Err(error) = written.and_then(|()| ring.empty(|bytes| stream.try_write(bytes)))
+                    && passing(error).await.is_err()
+                {
+                    return false;
                 }
             }
             Some(End::Closed) => return SockRef::from(stream).shutdown(Shutdown::Write).is_ok(),
@@ -104,10 +108,10 @@
                 Ok(n)
             })
         });
-        match written {
-            Ok(_) => {}
-            Err(e) if again(&e) => {}
-            Err(_) => return false,
+        if let Err(error) = written
+            && passing(error).await.is_err()
+        {
+            return false;
         }
     }
 }
@@ -159,8 +163,7 @@
         stream.writable().await?;
         match stream.try_write(bytes) {
             Ok(n) => bytes = &bytes[n..],
-            Err(e) if again(&e) => {}
-            Err(e) => return Err(e),
+            Err(error) => passing(error).await?,
         }
     }
     Ok(())
@@ -177,8 +180,7 @@
         to.reserve(4_096);
         match stream.try_read_buf(to) {
             Ok(_) => return Ok(to.len() > before),
-            Err(e) if again(&e) => {}
-            Err(e) => return Err(e),
+            Err(error) => passing(error).await?,
         }
     }
 }
@@ -204,9 +206,13 @@
             Ok(true)
         });
         match dropped {
-            // What has come is dropped; the end, if there is one, is seen next time.
-            Err(e) if again(&e) && left < most => return Ok(true),
-            Err(e) if again(&e) => {}
+            Err(error) => {
+                passing(error).await?;
+                // What has come is dropped; the end, if there is one, is seen next time.
+                if left < most {
+                    return Ok(true);
+                }
+            }
             done => return done,
         }
     }
@@ -218,8 +224,10 @@
     let mut unread = [MaybeUninit::uninit(); 32 * 1024];
     // Bounded, as a flood may come faster than it is dropped.
     for _ in 0..MOST_DROPS {
-        if !SockRef::from(stream).recv_with_flags(&mut unread, libc::MSG_TRUNC).is_ok_and(|n| n > 0) {
-            return;
+        match SockRef::from(stream).recv_with_flags(&mut unread, libc::MSG_TRUNC) {
+            Ok(0) => return,
+            Err(error) if !is_passing(&error) => return,
+            Ok(_) | Err(_) => {}
         }
     }
 }
@@ -233,6 +241,19 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-fn again(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+/// True if the connection is as sound as before the call that failed like this.
+fn is_passing(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::Interrupted || transient::is_shortage(error)
+}
+
+/// Returns once a read or write that failed may be made again; the error if the connection is broken.
+async fn passing(error: io::Error) -> io::Result<()> {
+    match error.kind() {
+        io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted => Ok(()),
+        _ if transient::is_shortage(&error) => {
+            transient::pause().await;
+            Ok(())
+        }
+        _ => Err(error),
+    }
 }
