Keep a connection that was accepted while the event loop cannot take it yet

Callers saw: a connection that had been accepted, with its request, was closed without an answer where registering it failed for a moment (ENOMEM). Cause: the runtime's listener accepts and registers in one step, and drops the socket if the second fails.

--- a/node/src/front/line.rs
+++ b/node/src/front/line.rs
@@ -4,6 +4,7 @@
 use crate::exchange::{Adopted, Exchange, Pipe, Ticket};
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::{Descriptor, Descriptors, Purpose};
+use crate::io::listener::{self, Listener};
 use crate::io::places::{Place, Places};
 use crate::io::pump::{self, Filled};
 use crate::io::ring::End;
@@ -13,7 +14,7 @@
 use std::cell::Cell;
 use std::net::Shutdown;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
 /// A connection must have asked for something sound within this time of being accepted, however
@@ -62,7 +63,7 @@
 
 impl Clients {
     /// Accepts connections for ever, while this process serves.
-    pub async fn accept(self: Rc<Self>, listener: &TcpListener) {
+    pub async fn accept(self: Rc<Self>, listener: &Listener) {
         let mut serving = self.serving.clone();
         while serving.wait_for(|serving| *serving).await.is_ok() {
             let accepted = tokio::select! {
@@ -71,7 +72,7 @@
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok(stream) => {
                     let place = self.openings.place().await;
                     let clients = self.clone();
                     tokio::task::spawn_local(async move { clients.serve(stream, place).await });
@@ -109,18 +110,18 @@
 
     /// Takes connections that wait to be accepted now, whether or not the event loop has heard of them. Tells if
     /// there were any.
-    pub fn accept_waiting(self: &Rc<Self>, listener: &TcpListener) -> bool {
+    pub fn accept_waiting(self: &Rc<Self>, listener: &Listener) -> bool {
         let mut any = false;
-        while let Ok((socket, _)) = SockRef::from(listener).accept() {
-            let stream = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket.into()));
-            if let Ok(stream) = stream {
-                any = true;
-                let clients = self.clone();
-                tokio::task::spawn_local(async move {
-                    let place = clients.openings.place().await;
-                    clients.serve(stream, place).await;
-                });
-            }
+        while let Some(stream) = listener.accept_waiting() {
+            any = true;
+            let clients = self.clone();
+            tokio::task::spawn_local(async move {
+                let place = clients.openings.place().await;
+                match listener::register(stream).await {
+                    Ok(stream) => clients.serve(stream, place).await,
+                    Err(error) => tracing::warn!(%error, "an accepted connection could not be served"),
+                }
+            });
         }
         any
     }
--- a/node/src/io/mod.rs
+++ b/node/src/io/mod.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod connect;
 pub mod descriptors;
+pub mod listener;
 pub mod places;
 pub mod pump;
 pub mod ring;
--- a/node/src/operations/admin.rs
+++ b/node/src/operations/admin.rs
@@ -5,6 +5,7 @@
 
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::{Descriptors, Purpose};
+use crate::io::listener::Listener;
 use crate::io::places::{Place, Places};
 use crate::io::pump;
 use crate::operations::handover::Handover;
@@ -16,7 +17,7 @@
 use socket2::SockRef;
 use std::net::Shutdown;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 /// A call must have been made within this time.
 const CALL_MS: Millis = 2_500.0;
@@ -48,10 +49,10 @@
     }
 
     /// Takes calls for ever.
-    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+    pub async fn listen(self: Rc<Self>, listener: Listener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
+                Ok(stream) => {
                     let place = self.places.place().await;
                     let admin = self.clone();
                     tokio::task::spawn_local(async move { admin.serve(stream, place).await });
--- a/node/src/operations/handover.rs
+++ b/node/src/operations/handover.rs
@@ -8,6 +8,7 @@
 use crate::exchange::{Exchange, Passed, Socket};
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::Descriptors;
+use crate::io::listener::Listener;
 use crate::membership::directory::Directory;
 use crate::membership::discovery::Discovery;
 use crate::protocol::handover::{self as syntax, Connection, Hello, Holds, LONGEST, Snapshot, VERSION, Word};
@@ -26,7 +27,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use tokio::io::Interest;
-use tokio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
+use tokio::net::{TcpStream, UnixListener, UnixStream};
 use tokio::sync::{mpsc, watch};
 
 /// A predecessor must have told all within this time ...
@@ -51,7 +52,7 @@
     /// All that it knows.
     pub snapshot: Snapshot,
     /// Where clients connect.
-    pub clients: TcpListener,
+    pub clients: Listener,
     /// Where the next successor asks.
     pub successors: UnixListener,
     /// The link to it.
@@ -85,7 +86,7 @@
     })?;
     let [clients, successors] =
         link.take_sockets().ok_or_else(|| io::Error::other("no listening sockets"))?;
-    let clients = TcpListener::from_std(clients.into())?;
+    let clients = Listener::from_std(clients.into())?;
     let successors = UnixListener::from_std(successors.into())?;
     Ok(Heritage { snapshot, clients, successors, link })
 }
@@ -322,7 +323,7 @@
     }
 
     /// Hands over to successors for ever.
-    pub async fn listen(self: Rc<Self>, successors: UnixListener, clients: Rc<TcpListener>) {
+    pub async fn listen(self: Rc<Self>, successors: UnixListener, clients: Rc<Listener>) {
         loop {
             // Who has handed over has no say any more in who comes next.
             let mut serving = self.serving.subscribe();
@@ -343,7 +344,7 @@
         }
     }
 
-    async fn hand_over(&self, link: UnixStream, clients: &TcpListener, successors: &UnixListener) {
+    async fn hand_over(&self, link: UnixStream, clients: &Listener, successors: &UnixListener) {
         let (say, words) = mpsc::unbounded_channel();
         let mut link = Link { stream: Rc::new(link), read: Vec::new(), sockets: VecDeque::new() };
         let writer = link.stream.clone();
@@ -438,7 +439,7 @@
 
 impl Heritage {
     /// Takes it apart: the snapshot, the link, and the two sockets that are listened on.
-    pub fn parts(self) -> (Snapshot, Link, TcpListener, UnixListener) {
+    pub fn parts(self) -> (Snapshot, Link, Listener, UnixListener) {
         (self.snapshot, self.link, self.clients, self.successors)
     }
 }
--- a/node/src/operations/shutdown.rs
+++ b/node/src/operations/shutdown.rs
@@ -3,11 +3,11 @@
 use crate::front::line::Clients;
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::Purpose;
+use crate::io::listener::Listener;
 use crate::operations::handover::Handover;
 use crate::operations::tuning::Tuning;
 use marllink_pacing::ending::Ending;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// How often some are moved, and how often it is looked whether anything is left.
@@ -35,7 +35,7 @@
     /// Those who have not asked yet.
     pub clients: &'a Rc<Clients>,
     /// Where they come from.
-    pub listener: &'a TcpListener,
+    pub listener: &'a Listener,
 }
 
 impl Leaving<'_> {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::front::line as front;
 use crate::host::server;
 use crate::io::clock::Clock;
+use crate::io::listener::Listener;
 use crate::io::{descriptors, places};
 use crate::membership::{directory, discovery};
 use crate::operations::config::{self, Config};
@@ -16,7 +17,6 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::Signal;
 
 /// How to serve, besides what the environment says.
@@ -28,9 +28,6 @@
     pub json_log: bool,
 }
 
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1024;
-
 /// Serves as the environment says, until a planned end; what `marllink` without arguments does.
 pub fn serve(options: &Options) -> ExitCode {
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
@@ -272,13 +269,8 @@
     Ok(())
 }
 
-/// Listens at an address. Only where a predecessor has not answered are there two of us, each with a
-/// queue of its own.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    // A balancer starts again under its address at once.
-    socket.set_reuseaddr(true)?;
-    socket.set_reuseport(true)?;
-    let listening = socket.bind(address).and_then(|()| socket.listen(BACKLOG));
-    listening.map_err(|e| std::io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
+/// Listens at an address.
+fn listen(address: SocketAddr) -> std::io::Result<Listener> {
+    Listener::bind(address)
+        .map_err(|e| std::io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
 }
