Wait for an address that is held for a moment instead of refusing to start

Callers saw: a balancer that is started while its address is held for a moment (EADDRINUSE) refuses to start. Cause: one bind, and its failure ended the process. Evidence: a test of failing_calls with EADDRINUSE at the first three binds. Change: it is tried every 50 ms for 2 s, each failure logged.

--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::exchange::resume::Resume;
 use crate::front::line as front;
 use crate::host::server;
-use crate::io::clock::Clock;
+use crate::io::clock::{Clock, Millis};
 use crate::io::listener::Listener;
 use crate::io::{descriptors, places};
 use crate::membership::{directory, discovery};
@@ -28,6 +28,11 @@
     pub json_log: bool,
 }
 
+/// For so long it is tried to listen; a balancer has to be ready within seconds.
+const LISTEN_MS: Millis = 2_000.0;
+/// So long after one try follows the next.
+const LISTEN_AGAIN_MS: Millis = 50.0;
+
 /// Serves as the environment says, until a planned end; what `marllink` without arguments does.
 pub fn serve(options: &Options) -> ExitCode {
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
@@ -197,7 +202,7 @@
                 Some((state, folder)) => state.start(&config.known, folder),
                 None => discovery.start_from(&config.known),
             }
-            (listen(config.listen)?, handover::listen(&path))
+            (listen(&clock, config.listen).await?, handover::listen(&path))
         }
         Some(heritage) => {
             let (before, link, clients, successors) = heritage.parts();
@@ -227,7 +232,7 @@
     if let Some(address) = config.admin {
         let door =
             admin::Admin::new(clock.clone(), handover.clone(), maintenance.clone(), descriptors.clone());
-        tokio::task::spawn_local(door.listen(listen(address)?));
+        tokio::task::spawn_local(door.listen(listen(&clock, address).await?));
     }
     let clients = Rc::new(front::Clients {
         exchange: exchange.clone(),
@@ -269,8 +274,23 @@
     Ok(())
 }
 
-/// Listens at an address.
-fn listen(address: SocketAddr) -> std::io::Result<Listener> {
-    Listener::bind(address)
-        .map_err(|e| std::io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
+/// Listens at an address. What keeps others from listening there may be over soon, as when a process that has
+/// held it ends.
+async fn listen(clock: &Clock, address: SocketAddr) -> std::io::Result<Listener> {
+    let until = clock.now() + LISTEN_MS;
+    loop {
+        match Listener::bind(address) {
+            Ok(listener) => return Ok(listener),
+            Err(error) if clock.now() >= until => {
+                return Err(std::io::Error::new(
+                    error.kind(),
+                    format!("cannot listen on {address}: {error}"),
+                ));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "cannot listen on {address} yet");
+                clock.sleep(LISTEN_AGAIN_MS).await;
+            }
+        }
+    }
 }
