Write the last line of a connection that must leave without asking the event loop

Cause: that line went out by try_write, which fails unless the event loop has told that the socket takes bytes. Sockets that the runtime accepted were taken for writable from the start; those that are registered in a step of their own are not. Change: pump::write_now sends on the socket itself, and goes on after EINTR. All other writes wait until the socket takes bytes.

--- a/node/src/front/line.rs
+++ b/node/src/front/line.rs
@@ -157,7 +157,7 @@
                     biased;
                     () = needed => {
                         // There is no time to wait for anything; a line this short fits in any socket.
-                        let _ = stream.try_write(line.as_bytes());
+                        pump::write_now(&stream, line.as_bytes());
                         let _ = SockRef::from(&stream).shutdown(Shutdown::Write);
                         pump::drop_unread(&stream);
                     }
--- a/node/src/io/pump.rs
+++ b/node/src/io/pump.rs
@@ -169,6 +169,16 @@
     Ok(())
 }
 
+/// Writes what the socket takes at once, whether or not the event loop has heard that it takes any.
+pub fn write_now(stream: &TcpStream, bytes: &[u8]) {
+    // Who does not take its last line now does not get it.
+    while let Err(error) = SockRef::from(stream).send(bytes) {
+        if error.kind() != io::ErrorKind::Interrupted {
+            return;
+        }
+    }
+}
+
 /// Adds what there is; false at the end of the connection.
 ///
 /// # Errors
