Read the configuration again when a read fails for a moment, at the start and at SIGHUP

Callers would see: a start refused, or new settings and discovery not taken, because one open or read failed (EMFILE, EIO). Cause: one read, and its failure was final; a balancer whose SIGHUP was lost so keeps to the old discovery. The shim's rules may name files by their path.

--- a/node/src/operations/config.rs
+++ b/node/src/operations/config.rs
@@ -9,6 +9,14 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 
+/// The variable that names the file.
+pub const PATH_VARIABLE: &str = "NODE_CONFIG";
+
+/// The same error once more.
+pub fn copied(error: &std::io::Error) -> std::io::Error {
+    std::io::Error::new(error.kind(), error.to_string())
+}
+
 /// All that the balancer is told.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -115,7 +123,7 @@
     read: impl Fn(&str) -> std::io::Result<Vec<u8>>,
     file_first: bool,
 ) -> Result<Config, String> {
-    let path = variable("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
+    let path = variable(PATH_VARIABLE).ok_or("NODE_CONFIG is not set")?;
     let text = read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
     let file: File = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
     let told = |name: &str, key: &str, value: Option<String>| {
--- a/node/src/operations/mod.rs
+++ b/node/src/operations/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod config;
 pub mod features;
+pub mod file;
 pub mod handover;
 pub mod maintenance;
 pub mod reload;
--- a/node/src/operations/reload.rs
+++ b/node/src/operations/reload.rs
@@ -2,6 +2,7 @@
 
 use crate::operations::config::{self, Config};
 use crate::operations::features::{self, Features};
+use crate::operations::file;
 use crate::operations::handover::Handover;
 use crate::operations::tuning::Tuning;
 use marllink::Event;
@@ -34,8 +35,12 @@
                 continue;
             }
         };
+        let variable = |name: &str| std::env::var(name).ok();
+        let path = variable(config::PATH_VARIABLE).unwrap_or_default();
+        let text = file::read(&handover.clock, Path::new(&path)).await;
         let in_force = handover.config.borrow().clone();
-        let read = config::reload(|name| std::env::var(name).ok(), |path| std::fs::read(path), &in_force);
+        let text = |_: &str| text.as_ref().map(Clone::clone).map_err(config::copied);
+        let read = config::reload(variable, text, &in_force);
         match read {
             Ok(config) => {
                 tracing::info!("SIGHUP: new settings, and discovery at {}", config.discovery);
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -9,6 +9,7 @@
 use crate::membership::{directory, discovery};
 use crate::operations::config::{self, Config};
 use crate::operations::features::{self, Features};
+use crate::operations::file;
 use crate::operations::handover::{self, Heritage};
 use crate::operations::{admin, maintenance, reload, shutdown, state, tuning};
 use crate::{core, exchange};
@@ -72,8 +73,14 @@
 async fn start(features: Features, operators: Option<PathBuf>) -> Result<(), String> {
     // Before all else: a signal that comes unheard ends the process, and the file is read after it can be heard of.
     let signals = Signals::listen().map_err(|error| error.to_string())?;
-    let told = config::load(variable, |path| std::fs::read(path));
     let clock = Clock::of_machine();
+    let told = match variable(config::PATH_VARIABLE) {
+        Some(path) => {
+            let text = file::read(&clock, Path::new(&path)).await;
+            config::load(variable, |_| text.as_ref().map(Clone::clone).map_err(config::copied))
+        }
+        None => config::load(variable, |path| std::fs::read(path)),
+    };
     let listen = match &told {
         Ok(config) => Some(config.listen),
         // What was in force may do in its place; where to ask for it is told by the variable as well.
--- a/node/tests/failing_calls.rs
+++ b/node/tests/failing_calls.rs
@@ -177,3 +177,20 @@
 fn a_balancer_starts_although_its_address_is_held_for_a_moment() {
     new_connection_survives("bind EADDRINUSE", |_| "bind=EADDRINUSE@LISTEN#1-3".into());
 }
+
+#[test]
+fn a_balancer_starts_although_its_configuration_cannot_be_opened_for_a_moment() {
+    new_connection_survives("open EMFILE", |_| "open=EMFILE@config.json#1-3".into());
+}
+
+#[test]
+fn a_reload_takes_effect_although_the_file_cannot_be_read_for_a_moment() {
+    let host = Host::new("s-1");
+    let mut node = Node::start_with_faults(&[&host], "open=EIO@config.json#2-4");
+    let _old = node.move_discovery();
+    node.signal("HUP");
+    // The new place of discovery is asked.
+    let (path, _call) = node.called();
+    assert!(path.starts_with("GET /catalog/members?watch=1"), "{path}");
+    assert_eq!(node.fired("open EIO"), 3);
+}
--- a/shim/src/calls.rs
+++ b/shim/src/calls.rs
@@ -1,8 +1,11 @@
 //! The functions of the C library that the shim stands in for.
 
-use crate::plan::{self, Fault};
+use crate::plan::{self, Fault, Subject};
 use crate::report;
-use libc::{c_int, c_long, c_void, epoll_event, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use libc::{
+    c_char, c_int, c_long, c_void, epoll_event, mode_t, size_t, sockaddr, socklen_t, ssize_t, timespec,
+};
+use std::ffi::CStr;
 
 /// Nanoseconds in a millisecond.
 const NANOS_PER_MS: i64 = 1_000_000;
@@ -40,15 +43,15 @@
     unsafe { port_of((&raw const address).cast(), length) }
 }
 
-/// The ports of a TCP socket's two ends; 0 for an end that it does not have. `None` for other files.
-fn ports(socket: c_int) -> Option<[u16; 2]> {
+/// A TCP socket, by its ports. `None` for other files.
+fn ports(socket: c_int) -> Option<Subject> {
     let own = named(libc::SYS_getsockname, socket)?;
-    Some([own, named(libc::SYS_getpeername, socket).unwrap_or(0)])
+    Some(Subject::Socket([own, named(libc::SYS_getpeername, socket).unwrap_or(0)]))
 }
 
 /// What a call comes to: the fault that fires, or none.
-fn planned(call: &str, ports: impl Fn() -> Option<[u16; 2]>) -> Option<Fault> {
-    let rule = plan::fault(call, ports)?;
+fn planned(call: &str, subject: impl Fn() -> Option<Subject>) -> Option<Fault> {
+    let rule = plan::fault(call, subject)?;
     report::fired(call, rule);
     if let Fault::Error(number) = rule.fault {
         set_errno(number);
@@ -61,9 +64,9 @@
     call: &str,
     file: c_int,
     wanted: size_t,
-    ports: impl Fn(c_int) -> Option<[u16; 2]>,
+    subject: impl Fn(c_int) -> Option<Subject>,
 ) -> Option<size_t> {
-    match planned(call, || ports(file)) {
+    match planned(call, || subject(file)) {
         Some(Fault::Error(_)) => None,
         Some(Fault::Short) => Some(wanted.min(1)),
         Some(Fault::Step(_)) | None => Some(wanted),
@@ -76,7 +79,7 @@
 /// As the C function.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
-    let is_tcp = || (domain == libc::AF_INET && kind & 0xf == libc::SOCK_STREAM).then_some([0, 0]);
+    let is_tcp = || (domain == libc::AF_INET && kind & 0xf == libc::SOCK_STREAM).then_some(Subject::Other);
     if let Some(Fault::Error(_)) = planned("socket", is_tcp) {
         return -1;
     }
@@ -91,7 +94,7 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn bind(socket: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
     // SAFETY: the caller vouches for the address.
-    let to = || unsafe { port_of(address, length) }.map(|port| [port, 0]);
+    let to = || unsafe { port_of(address, length) }.map(|port| Subject::Socket([port, 0]));
     if let Some(Fault::Error(_)) = planned("bind", to) {
         return -1;
     }
@@ -106,7 +109,7 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn connect(socket: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
     // SAFETY: the caller vouches for the address.
-    let to = || unsafe { port_of(address, length) }.map(|port| [0, port]);
+    let to = || unsafe { port_of(address, length) }.map(|port| Subject::Socket([0, port]));
     if let Some(Fault::Error(_)) = planned("connect", to) {
         return -1;
     }
@@ -226,7 +229,7 @@
     most: c_int,
     timeout: c_int,
 ) -> c_int {
-    if let Some(Fault::Error(_)) = planned("epoll_wait", || Some([0, 0])) {
+    if let Some(Fault::Error(_)) = planned("epoll_wait", || Some(Subject::Other)) {
         return -1;
     }
     // SAFETY: passed on as given; the signal mask is none.
@@ -244,13 +247,28 @@
     unsafe { libc::syscall(libc::SYS_write, file, buffer, length) as ssize_t }
 }
 
+/// Stands in for `open64`.
+///
+/// # Safety
+/// As the C function; the mode is passed in the place of its third argument, as C does for this platform.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: mode_t) -> c_int {
+    // SAFETY: the caller vouches for the path.
+    let named = || unsafe { CStr::from_ptr(path) }.to_str().ok().map(|path| Subject::File(path.to_owned()));
+    if let Some(Fault::Error(_)) = planned("open", named) {
+        return -1;
+    }
+    // SAFETY: passed on as given.
+    unsafe { libc::syscall(libc::SYS_openat, libc::AT_FDCWD, path, flags, mode) as c_int }
+}
+
 /// Stands in for `fsync`.
 ///
 /// # Safety
 /// As the C function.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn fsync(file: c_int) -> c_int {
-    if let Some(Fault::Error(_)) = planned("fsync", || Some([0, 0])) {
+    if let Some(Fault::Error(_)) = planned("fsync", || Some(Subject::Other)) {
         return -1;
     }
     // SAFETY: passed on as given.
@@ -263,19 +281,19 @@
 /// As the C function.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn fdatasync(file: c_int) -> c_int {
-    if let Some(Fault::Error(_)) = planned("fsync", || Some([0, 0])) {
+    if let Some(Fault::Error(_)) = planned("fsync", || Some(Subject::Other)) {
         return -1;
     }
     // SAFETY: passed on as given.
     unsafe { libc::syscall(libc::SYS_fdatasync, file) as c_int }
 }
 
-fn is_regular(file: c_int) -> Option<[u16; 2]> {
+fn is_regular(file: c_int) -> Option<Subject> {
     // SAFETY: all bytes zero is a valid status.
     let mut status: libc::stat = unsafe { std::mem::zeroed() };
     // SAFETY: the kernel fills the status.
     let result = unsafe { libc::fstat(file, &raw mut status) };
-    (result == 0 && status.st_mode & libc::S_IFMT == libc::S_IFREG).then_some([0, 0])
+    (result == 0 && status.st_mode & libc::S_IFMT == libc::S_IFREG).then_some(Subject::Other)
 }
 
 /// Stands in for `clock_gettime`: steps concern the wall clock alone.
@@ -289,7 +307,7 @@
     if result != 0 || clock != libc::CLOCK_REALTIME {
         return result;
     }
-    if let Some(Fault::Step(ms)) = planned("clock", || Some([0, 0])) {
+    if let Some(Fault::Step(ms)) = planned("clock", || Some(Subject::Other)) {
         // SAFETY: the kernel has just filled it.
         let time = unsafe { &mut *time };
         let nanos = time.tv_nsec + ms * NANOS_PER_MS;
--- a/shim/src/plan.rs
+++ b/shim/src/plan.rs
@@ -1,11 +1,11 @@
 //! Which calls are to fail, and how.
 //!
-//! `MARLLINK_FAULTS` holds rules that `;` separates, each of the form `CALL=FAULT[@PORT][#FROM[-TO]][%ONE_IN]`:
+//! `MARLLINK_FAULTS` holds rules that `;` separates, each of the form `CALL=FAULT[@WHERE][#FROM[-TO]][%ONE_IN]`:
 //!
 //! - `CALL` is a function's name, such as `connect` or `recv`.
 //! - `FAULT` is the name of an error (`ENOBUFS`), `SHORT` for one byte at most, or `STEP:MS` for a
 //!   wall clock that is off by so many milliseconds.
-//! - `@PORT` limits the rule to sockets of which one end has this port.
+//! - `@WHERE` limits the rule to sockets of which one end has this port, or to files whose path ends so.
 //! - `#FROM-TO` limits it to these calls among those that match, counted from 1; `#FROM-` has no end.
 //! - `%ONE_IN` has it fire at one in so many of them, chosen by `MARLLINK_FAULT_SEED`.
 
@@ -30,7 +30,7 @@
     pub name: String,
     /// What is to happen.
     pub fault: Fault,
-    port: Option<u16>,
+    place: Option<String>,
     first: u64,
     last: u64,
     one_in: u64,
@@ -48,13 +48,13 @@
             Some((rest, range)) => (rest, parse_range(range)?),
             None => (rest, (1, u64::MAX)),
         };
-        let (name, port) = match rest.split_once('@') {
-            Some((name, port)) => (name, Some(port.parse().ok()?)),
+        let (name, place) = match rest.split_once('@') {
+            Some((name, place)) => (name, Some(place.to_owned())),
             None => (rest, None),
         };
         let fault = parse_fault(name)?;
         let (call, name) = (call.to_owned(), name.to_owned());
-        Some(Self { call, name, fault, port, first, last, one_in, seen: AtomicU64::new(0) })
+        Some(Self { call, name, fault, place, first, last, one_in, seen: AtomicU64::new(0) })
     }
 
     /// Counts a call that matches and tells whether the fault fires at it.
@@ -129,11 +129,32 @@
     })
 }
 
-/// The rule that fires at this call, if one does. `ports` gives the ports of the call's socket, or
-/// `None` where it is no TCP socket; it is asked only where a rule needs it.
-pub fn fault(call: &str, ports: impl Fn() -> Option<[u16; 2]>) -> Option<&'static Rule> {
+/// What a call is made for.
+#[derive(Clone, Debug)]
+pub enum Subject {
+    /// A TCP socket with these ports at its two ends; 0 for an end that it does not have.
+    Socket([u16; 2]),
+    /// A file at this path.
+    File(String),
+    /// Something that no rule names.
+    Other,
+}
+
+impl Subject {
+    fn is_at(&self, place: &str) -> bool {
+        match self {
+            Self::Socket(ports) => ports.iter().any(|port| place.parse() == Ok(*port)),
+            Self::File(path) => path.ends_with(place),
+            Self::Other => false,
+        }
+    }
+}
+
+/// The rule that fires at this call, if one does. `subject` gives what the call is made for, or `None`
+/// where it is not meant at all; it is asked only where there is a rule for such calls.
+pub fn fault(call: &str, subject: impl Fn() -> Option<Subject>) -> Option<&'static Rule> {
     let mut meant = rules().iter().filter(|rule| rule.call == call).peekable();
     meant.peek()?;
-    let ports = ports()?;
-    meant.find(|rule| rule.port.is_none_or(|port| ports.contains(&port)) && rule.fires())
+    let subject = subject()?;
+    meant.find(|rule| rule.place.as_ref().is_none_or(|place| subject.is_at(place)) && rule.fires())
 }
