Go on when the log cannot be written

Callers saw: a balancer whose log lies on a full disk (ENOSPC) ends at its next line, and with it all its connections and requests. Cause: the log library prints its own failure to the same place, and that print panics. Change: the library's own messages are off, and the last line of a failed start may fail.

--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::operations::{admin, maintenance, reload, shutdown, state, tuning};
 use crate::{core, exchange};
 use std::cell::Cell;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -36,7 +37,9 @@
 
 /// Serves as the environment says, until a planned end; what `marllink` without arguments does.
 pub fn serve(options: &Options) -> ExitCode {
-    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    // A log that can't be written is no reason to end: the library would tell of that by a panic.
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).log_internal_errors(false);
+    let log = log.with_ansi(false).with_target(false);
     let level = variable("MARLLINK_LOG").and_then(|level| level.parse().ok());
     let log = log.with_max_level(level.unwrap_or(tracing::Level::INFO));
     if options.json_log {
@@ -65,7 +68,7 @@
 }
 
 fn failed(message: &str) -> ExitCode {
-    eprintln!("marllink: {message}");
+    let _ = writeln!(std::io::stderr(), "marllink: {message}");
     ExitCode::FAILURE
 }
 
--- a/node/tests/failing_calls.rs
+++ b/node/tests/failing_calls.rs
@@ -194,3 +194,9 @@
     assert!(path.starts_with("GET /catalog/members?watch=1"), "{path}");
     assert_eq!(node.fired("open EIO"), 3);
 }
+
+#[test]
+fn a_log_that_cannot_be_written_ends_nothing() {
+    // The line that the harness waits for still goes out.
+    new_connection_survives("write ENOSPC", |_| "write=ENOSPC@stderr#4-60".into());
+}
--- a/shim/src/calls.rs
+++ b/shim/src/calls.rs
@@ -6,6 +6,7 @@
     c_char, c_int, c_long, c_void, epoll_event, mode_t, size_t, sockaddr, socklen_t, ssize_t, timespec,
 };
 use std::ffi::CStr;
+use std::time::Duration;
 
 /// Nanoseconds in a millisecond.
 const NANOS_PER_MS: i64 = 1_000_000;
@@ -53,23 +54,20 @@
 fn planned(call: &str, subject: impl Fn() -> Option<Subject>) -> Option<Fault> {
     let rule = plan::fault(call, subject)?;
     report::fired(call, rule);
-    if let Fault::Error(number) = rule.fault {
-        set_errno(number);
+    match rule.fault {
+        Fault::Error(number) => set_errno(number),
+        Fault::Hold(ms) => std::thread::sleep(Duration::from_millis(u64::from(ms))),
+        _ => {}
     }
     Some(rule.fault)
 }
 
 /// How many bytes a call may handle; `None` if it is to fail.
-fn allowed(
-    call: &str,
-    file: c_int,
-    wanted: size_t,
-    subject: impl Fn(c_int) -> Option<Subject>,
-) -> Option<size_t> {
-    match planned(call, || subject(file)) {
+fn allowed(fault: Option<Fault>, wanted: size_t) -> Option<size_t> {
+    match fault {
         Some(Fault::Error(_)) => None,
-        Some(Fault::Short) => Some(wanted.min(1)),
-        Some(Fault::Step(_)) | None => Some(wanted),
+        Some(Fault::Short | Fault::Whole) => Some(wanted.min(1)),
+        _ => Some(wanted),
     }
 }
 
@@ -151,7 +149,11 @@
 /// As the C function.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn recv(socket: c_int, buffer: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
-    let Some(length) = allowed("recv", socket, length, ports) else { return -1 };
+    let fault = planned("recv", || ports(socket));
+    if fault == Some(Fault::End) {
+        return 0;
+    }
+    let Some(length) = allowed(fault, length) else { return -1 };
     // SAFETY: passed on as given, or for less of the buffer.
     unsafe { libc::syscall(libc::SYS_recvfrom, socket, buffer, length, flags, 0, 0) as ssize_t }
 }
@@ -162,9 +164,15 @@
 /// As the C function.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn send(socket: c_int, buffer: *const c_void, length: size_t, flags: c_int) -> ssize_t {
-    let Some(length) = allowed("send", socket, length, ports) else { return -1 };
+    let fault = planned("send", || ports(socket));
+    let Some(part) = allowed(fault, length) else { return -1 };
+    if fault == Some(Fault::Twice) {
+        // SAFETY: passed on as given.
+        unsafe { libc::syscall(libc::SYS_sendto, socket, buffer, part, flags, 0, 0) };
+    }
     // SAFETY: passed on as given, or for less of the buffer.
-    unsafe { libc::syscall(libc::SYS_sendto, socket, buffer, length, flags, 0, 0) as ssize_t }
+    let sent = unsafe { libc::syscall(libc::SYS_sendto, socket, buffer, part, flags, 0, 0) as ssize_t };
+    if fault == Some(Fault::Whole) { length as ssize_t } else { sent }
 }
 
 /// Stands in for `shutdown`.
@@ -236,13 +244,13 @@
     unsafe { libc::syscall(libc::SYS_epoll_pwait, epoll, events, most, timeout, 0, 8) as c_int }
 }
 
-/// Stands in for `write`, for regular files only: sockets are written by `send`.
+/// Stands in for `write`, for regular files and the log: sockets are written by `send`.
 ///
 /// # Safety
 /// As the C function.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn write(file: c_int, buffer: *const c_void, length: size_t) -> ssize_t {
-    let Some(length) = allowed("write", file, length, is_regular) else { return -1 };
+    let Some(length) = allowed(planned("write", || file_or_log(file)), length) else { return -1 };
     // SAFETY: passed on as given, or for less of the buffer.
     unsafe { libc::syscall(libc::SYS_write, file, buffer, length) as ssize_t }
 }
@@ -288,6 +296,10 @@
     unsafe { libc::syscall(libc::SYS_fdatasync, file) as c_int }
 }
 
+fn file_or_log(file: c_int) -> Option<Subject> {
+    if file == libc::STDERR_FILENO { Some(Subject::File("stderr".into())) } else { is_regular(file) }
+}
+
 fn is_regular(file: c_int) -> Option<Subject> {
     // SAFETY: all bytes zero is a valid status.
     let mut status: libc::stat = unsafe { std::mem::zeroed() };
--- a/shim/src/plan.rs
+++ b/shim/src/plan.rs
@@ -4,7 +4,10 @@
 //!
 //! - `CALL` is a function's name, such as `connect` or `recv`.
 //! - `FAULT` is the name of an error (`ENOBUFS`), `SHORT` for one byte at most, or `STEP:MS` for a
-//!   wall clock that is off by so many milliseconds.
+//!   wall clock that is off by so many milliseconds. `END`, `WHOLE`, `TWICE` and `HOLD:MS` are no faults that
+//!   a system has: with them a sound program does what one with a certain bug would do, so that a judge can
+//!   be tested. They read as if the peer had ended, tell that all was written after one byte, write all twice,
+//!   and hold the program up.
 //! - `@WHERE` limits the rule to sockets of which one end has this port, or to files whose path ends so.
 //! - `#FROM-TO` limits it to these calls among those that match, counted from 1; `#FROM-` has no end.
 //! - `%ONE_IN` has it fire at one in so many of them, chosen by `MARLLINK_FAULT_SEED`.
@@ -21,6 +24,14 @@
     Short,
     /// The clock is off by so many milliseconds.
     Step(i64),
+    /// A read finds the end of the stream.
+    End,
+    /// A write handles one byte and tells that it has handled all.
+    Whole,
+    /// A write is made twice.
+    Twice,
+    /// The program is held up for so many milliseconds before the call.
+    Hold(u32),
 }
 
 /// A fault and the calls that it is meant for.
@@ -77,8 +88,14 @@
     if let Some(ms) = name.strip_prefix("STEP:") {
         return ms.parse().ok().map(Fault::Step);
     }
+    if let Some(ms) = name.strip_prefix("HOLD:") {
+        return ms.parse().ok().map(Fault::Hold);
+    }
     let number = match name {
         "SHORT" => return Some(Fault::Short),
+        "END" => return Some(Fault::End),
+        "WHOLE" => return Some(Fault::Whole),
+        "TWICE" => return Some(Fault::Twice),
         "EADDRINUSE" => libc::EADDRINUSE,
         "EADDRNOTAVAIL" => libc::EADDRNOTAVAIL,
         "EAGAIN" => libc::EAGAIN,
