Add marllink-lab soak: real processes under seeded faults, judged by what peers wrote

Need: the incident's reproduction is to last, for faults that nobody has thought of yet. Change: a seed draws a deployment, clients of six kinds, signals, upgrades and kills, servers that misbehave, drains, discovery that is down, and failing system calls by the shim; each process is judged by its own clients, servers and discovery. Two wrong findings of the first draft were traced: a client of a killed process that wrote its last byte later, and readiness read from a log that could not be written.

--- a/emulator/src/platform/hosts.rs
+++ b/emulator/src/platform/hosts.rs
@@ -23,6 +23,12 @@
     Resets,
     /// It says nothing.
     Mute,
+    /// It serves after so many ms.
+    Slow(u32),
+    /// It serves, and breaks the connection off so many ms later.
+    BreaksAfter(u32),
+    /// It writes its answers byte by byte.
+    Pieces,
     /// It has been deleted, and something else that speaks another language has its address: it breaks off whatever
     /// comes, be it a question.
     Gone,
@@ -136,7 +142,17 @@
         self.book.write(Note::Sent { id, host, since, wait_ms });
         let over = |how: &str| self.book.write(Note::Over { id, host, how: how.to_owned() });
         match self.manner.get() {
-            Manner::Serves => {}
+            Manner::Serves | Manner::BreaksAfter(_) | Manner::Pieces => {}
+            Manner::Slow(ms) => {
+                let mut line = String::new();
+                tokio::select! {
+                    _ = stream.read_line(&mut line) => {
+                        over("(left)");
+                        return Ok(());
+                    }
+                    () = pause(f64::from(ms)) => {}
+                }
+            }
             Manner::Busy => {
                 over("BUSY");
                 return stream.write_all(b"BUSY\r\n").await;
@@ -161,7 +177,21 @@
         let receipt = format!("{:x}", id.rotate_left(17) ^ host as u64);
         self.book.write(Note::Receipt { id, receipt: receipt.clone() });
         over("UP");
-        stream.write_all(format!("UP {receipt}\r\n").as_bytes()).await?;
+        let answer = format!("UP {receipt}\r\n");
+        match self.manner.get() {
+            Manner::Pieces => {
+                for byte in answer.as_bytes() {
+                    stream.write_all(&[*byte]).await?;
+                    tokio::task::yield_now().await;
+                }
+            }
+            Manner::BreaksAfter(ms) => {
+                stream.write_all(answer.as_bytes()).await?;
+                pause(f64::from(ms)).await;
+                return stream.get_ref().set_zero_linger();
+            }
+            _ => stream.write_all(answer.as_bytes()).await?,
+        }
         let mut line = String::new();
         while stream.read_line(&mut line).await? > 0 {
             stream.write_all(line.as_bytes()).await?;
--- a/emulator/src/platform/mod.rs
+++ b/emulator/src/platform/mod.rs
@@ -5,12 +5,14 @@
 mod clients;
 mod discovery;
 mod hosts;
+mod mixed;
 mod returning;
 pub mod rules;
 
 pub use clients::{Habits, play};
 pub use discovery::{Discovery, State};
 pub use hosts::{Host, Manner};
+pub use mixed::{ALL_KINDS, CLASS_SHIFT, ClassOf, ClientKind, Entrance, MixedClient, PROCESS_SHIFT};
 pub use returning::{BALANCER_BITS, Returning, Table};
 
 use crate::model::Millis;
@@ -69,6 +71,47 @@
         /// How it is.
         state: State,
     },
+    /// A client has connected.
+    Connected {
+        /// The id that its line will have.
+        id: u64,
+    },
+    /// A client has closed its connection before its answer.
+    Left {
+        /// The id in its line.
+        id: u64,
+    },
+    /// A client has written a part of its line and writes no more.
+    StoppedMidLine {
+        /// The id that its line would have had.
+        id: u64,
+    },
+    /// Such a client was answered or ended.
+    Released {
+        /// As above.
+        id: u64,
+    },
+    /// The balancer was killed: what was open there is cut off, and what it was told is forgotten.
+    Killed,
+}
+
+impl Note {
+    /// The id of the request that it tells of, if it tells of one.
+    #[must_use]
+    pub fn request(&self) -> Option<u64> {
+        match self {
+            Self::Asked { id, .. }
+            | Self::Answered { id, .. }
+            | Self::Sent { id, .. }
+            | Self::Over { id, .. }
+            | Self::Receipt { id, .. }
+            | Self::Connected { id }
+            | Self::Left { id }
+            | Self::StoppedMidLine { id }
+            | Self::Released { id } => Some(*id),
+            Self::Told { .. } | Self::Killed => None,
+        }
+    }
 }
 
 /// What all have seen, in the order in which they saw it, each with its time.
--- a/emulator/src/platform/rules.rs
+++ b/emulator/src/platform/rules.rs
@@ -1,14 +1,20 @@
 //! The rules of the platform's protocol, read from what stand-ins wrote down and from nothing else.
 
-use super::{Note, State};
+use super::{CLASS_SHIFT, Note, State};
 use crate::model::Millis;
 use std::collections::BTreeMap;
 
 /// Time limits hold to so many ms.
 const SLACK_MS: Millis = 50.0;
+/// No attempt begins so long after its client left: 0.1 s, and 0.15 s for a balancer that was held up.
+const LEFT_MS: Millis = 250.0;
+/// A client that stopped in the middle of its line is released within this.
+const STOPPED_MS: Millis = 3_000.0;
+/// What a client of a moment ago was told is on its way while its balancer is killed.
+const KILL_MS: Millis = 250.0;
 
 /// The figures of a deployment's rules.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Rules {
     /// Attempts for a request at most.
     pub attempts: usize,
@@ -16,6 +22,15 @@
     pub grace_ms: Millis,
     /// `BUSY` may say when to come again, up to so many ms; `None` where it may not.
     pub advice_ms: Option<Millis>,
+    /// Whether requests of a class must not run twice, by the class's number in their ids; the others may.
+    pub once: Vec<bool>,
+}
+
+impl Rules {
+    fn is_once(&self, id: u64) -> bool {
+        let class = (id >> CLASS_SHIFT & 0xf) as usize;
+        self.once.get(class).copied().unwrap_or(false)
+    }
 }
 
 /// What was found. Faults of safety hold on any machine; late ones may be the machine's.
@@ -40,6 +55,12 @@
     sent: usize,
     out: Option<usize>,
     receipts: Vec<String>,
+    connected: Option<Millis>,
+    left: Option<Millis>,
+    /// An attempt may have run.
+    may_have_run: bool,
+    /// Its balancer was killed before it had its answer.
+    cut: bool,
 }
 
 /// Judges a run. The clients' waits are bounds on time; so is the grace of a drain.
@@ -48,6 +69,8 @@
     let mut found = Found::default();
     let mut requests = BTreeMap::<u64, Request>::new();
     let mut told = BTreeMap::<usize, Millis>::new();
+    let mut stopped = BTreeMap::<u64, Millis>::new();
+    let mut kills = Vec::new();
     for (at, note) in notes {
         match note {
             Note::Asked { id, wait_ms } => requests.entry(*id).or_default().asked = Some((*at, *wait_ms)),
@@ -65,6 +88,12 @@
                         "{id:x}: two attempts at once, at hosts {other} and {host}, {at:.0} ms"
                     ));
                 }
+                if request.may_have_run && rules.is_once(*id) {
+                    found.broken.push(format!("{id:x}: sent again though it may have run, {at:.0} ms"));
+                }
+                if let Some(left) = request.left.filter(|left| since - *left > LEFT_MS + SLACK_MS) {
+                    found.broken.push(format!("{id:x}: begun {:.0} ms after its client left", since - left));
+                }
                 if request.sent > rules.attempts {
                     found.broken.push(format!("{id:x}: more than {} attempts, {at:.0} ms", rules.attempts));
                 }
@@ -82,19 +111,53 @@
                     ));
                 }
             }
-            Note::Over { id, host, .. } => {
+            Note::Over { id, host, how } => {
                 let request = requests.entry(*id).or_default();
                 request.out = request.out.filter(|out| out != host);
+                request.may_have_run |= how != "BUSY";
+            }
+            Note::Connected { id } => requests.entry(*id).or_default().connected = Some(*at),
+            Note::Left { id } => requests.entry(*id).or_default().left = Some(*at),
+            Note::StoppedMidLine { id } => _ = stopped.insert(*id, *at),
+            Note::Released { id } => {
+                let since = stopped.remove(id).unwrap_or(*at);
+                if at - since > STOPPED_MS + SLACK_MS {
+                    found.late.push(format!("{id:x}: released {:.0} ms after it stopped", at - since));
+                }
             }
+            Note::Killed => {
+                told.clear();
+                kills.push(*at);
+                for request in requests.values_mut() {
+                    let asked = request.asked.is_some_and(|(asked, _)| asked <= *at);
+                    request.cut |= asked && request.answers.is_empty();
+                    request.out = None;
+                }
+            }
+        }
+    }
+    for (id, since) in stopped {
+        if !kills.iter().any(|at| *at >= since) {
+            found.broken.push(format!("{id:x}: stopped in the middle of its line and never released"));
         }
     }
     for (id, request) in &requests {
         let Some((asked, wait)) = request.asked else { continue };
         found.asked += 1;
         let Some((at, line)) = request.answers.first() else {
-            found.broken.push(format!("{id:x}: no answer"));
+            if request.left.is_none() && !request.cut {
+                found.broken.push(format!("{id:x}: no answer"));
+            }
             continue;
         };
+        let since = request.connected.unwrap_or(asked);
+        let killed = kills.iter().any(|kill| (since - KILL_MS..at + KILL_MS).contains(kill));
+        if line == "(end)" && (request.cut || killed) {
+            continue;
+        }
+        if rules.is_once(*id) && request.may_have_run && line.starts_with("BUSY") {
+            found.broken.push(format!("{id:x}: answered \"{line}\" though it may have run"));
+        }
         if request.answers.len() > 1 {
             found.broken.push(format!("{id:x}: {} answers", request.answers.len()));
         }
@@ -124,7 +187,7 @@
 mod tests {
     use super::*;
 
-    const RULES: Rules = Rules { attempts: 2, grace_ms: 500.0, advice_ms: None };
+    const RULES: Rules = Rules { attempts: 2, grace_ms: 500.0, advice_ms: None, once: Vec::new() };
 
     fn sent(id: u64, host: usize, since: Millis) -> (Millis, Note) {
         (since + 1.0, Note::Sent { id, host, since, wait_ms: 900.0 })
--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -27,6 +27,8 @@
     each: Vec<Balancer>,
     /// When which was cut off, from and to.
     cuts: RefCell<Vec<(usize, f64, f64)>>,
+    /// Variables that each is started with besides its own.
+    environment: Vec<(String, String)>,
 }
 
 struct Balancer {
@@ -54,7 +56,14 @@
             std::fs::create_dir_all(folder.join(format!("b{n}")))?;
             each.push(Balancer { listen: free()?, child: RefCell::default(), starts: Cell::default() });
         }
-        Ok(Self { ledger, program, folder, each, cuts: RefCell::default() })
+        Ok(Self { ledger, program, folder, each, cuts: RefCell::default(), environment: Vec::new() })
+    }
+
+    /// The same, started with these variables as well.
+    #[must_use]
+    pub fn with_environment(mut self, environment: Vec<(String, String)>) -> Self {
+        self.environment = environment;
+        self
     }
 
     /// Where clients connect.
@@ -152,6 +161,7 @@
             .env("NODE_CONFIG", folder.join("config.json"))
             .env("MARLLINK_OPERATORS", folder.join("operators.json"))
             .env("TMPDIR", &folder)
+            .envs(self.environment.iter().map(|(name, value)| (name, value)))
             .env_remove("NODE_LISTEN")
             .env_remove("NODE_DISCOVERY")
             .env_remove("NODE_ADMIN")
@@ -174,10 +184,12 @@
         Err(io::Error::other(format!("balancer {n} says nothing; see {}", log.display())))
     }
 
+    fn pid(&self, n: usize) -> Option<Pid> {
+        self.each[n].child.borrow().as_ref().and_then(|child| Pid::from_raw(child.id() as i32))
+    }
+
     fn signal(&self, n: usize, signal: Signal) {
-        if let Some(child) = self.each[n].child.borrow().as_ref()
-            && let Some(pid) = Pid::from_raw(child.id() as i32)
-        {
+        if let Some(pid) = self.pid(n) {
             // One that has ended by itself is seen at the end.
             let _ = kill_process(pid, signal);
         }
@@ -220,9 +232,15 @@
     /// Stops one for so long.
     pub async fn stall(&self, n: usize, for_ms: f64) {
         self.cuts.borrow_mut().push((n, self.ledger.now(), f64::INFINITY));
-        self.signal(n, Signal::STOP);
+        // Another process may have its place by the time it goes on.
+        let stopped = self.pid(n);
+        if let Some(pid) = stopped {
+            let _ = kill_process(pid, Signal::STOP);
+        }
         sleep(for_ms).await;
-        self.signal(n, Signal::CONT);
+        if let Some(pid) = stopped {
+            let _ = kill_process(pid, Signal::CONT);
+        }
         self.cut_ends(n);
     }
 
@@ -234,6 +252,39 @@
             .for_each(|(.., to)| *to = now + 100.0);
     }
 
+    /// Has one read its configuration again.
+    pub fn reload(&self, n: usize) {
+        self.signal(n, Signal::HUP);
+    }
+
+    /// Tells one to end.
+    pub fn terminate(&self, n: usize) {
+        self.signal(n, Signal::TERM);
+    }
+
+    /// Whether one has ended.
+    ///
+    /// # Errors
+    /// Fails if the system does not tell, or it has ended with a failure.
+    pub fn has_ended(&self, n: usize) -> io::Result<bool> {
+        let mut child = self.each[n].child.borrow_mut();
+        let Some(child) = child.as_mut() else { return Ok(true) };
+        match child.try_wait()? {
+            None => Ok(false),
+            Some(status) if status.success() => Ok(true),
+            Some(status) => Err(io::Error::other(format!("balancer {n} ended with {status}"))),
+        }
+    }
+
+    /// Starts another process in the place of one, which is given back.
+    ///
+    /// # Errors
+    /// Fails if the new one does not serve.
+    pub async fn replace(&self, n: usize) -> io::Result<Option<Child>> {
+        let new = self.spawn(n).await?;
+        Ok(self.each[n].child.replace(Some(new)))
+    }
+
     /// Has another process take its place.
     ///
     /// # Errors
--- a/lab/src/come_back.rs
+++ b/lab/src/come_back.rs
@@ -340,7 +340,7 @@
 }
 
 fn rules() -> Rules {
-    Rules { attempts: 3, grace_ms: 1_500.0, advice_ms: Some(2_000.0) }
+    Rules { attempts: 3, grace_ms: 1_500.0, advice_ms: Some(2_000.0), ..Rules::default() }
 }
 
 impl Run {
@@ -455,20 +455,12 @@
         let mut by = vec![Vec::<(f64, Note)>::new(); self.experiment.balancers];
         let notes = self.book.notes();
         for (at, note) in &notes {
-            let id = match note {
-                Note::Asked { id, .. }
-                | Note::Answered { id, .. }
-                | Note::Sent { id, .. }
-                | Note::Over { id, .. }
-                | Note::Receipt { id, .. } => *id,
-                Note::Told { .. } => continue,
-            };
+            let Some(id) = note.request() else { continue };
             by[(id >> BALANCER_BITS) as usize].push((*at, note.clone()));
         }
         for (n, mut own) in by.into_iter().enumerate() {
             let lost = self.lost(n, &own);
-            own.retain(|(_, note)| !matches!(note, Note::Asked { id, .. } | Note::Answered { id, .. }
-                | Note::Sent { id, .. } | Note::Over { id, .. } | Note::Receipt { id, .. } if lost.contains(id)));
+            own.retain(|(_, note)| !note.request().is_some_and(|id| lost.contains(&id)));
             own.extend(self.told[n].notes());
             own.sort_by(|a, b| a.0.total_cmp(&b.0));
             let found = judge(&own, &rules());
--- a/lab/src/deployments.rs
+++ b/lab/src/deployments.rs
@@ -83,7 +83,12 @@
     }
 
     fn rules(&self) -> Rules {
-        Rules { attempts: self.attempts, grace_ms: self.grace_ms, advice_ms: self.advice_ms }
+        Rules {
+            attempts: self.attempts,
+            grace_ms: self.grace_ms,
+            advice_ms: self.advice_ms,
+            ..Rules::default()
+        }
     }
 
     fn settings(&self) -> Value {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod matrix;
 mod results;
 mod run;
+mod soak;
 
 use clap::{Parser, Subcommand};
 use experiment::{Experiment, Fault, Fleet, Load, Sessions, What};
@@ -86,6 +87,33 @@
         #[arg(long, value_name = "FOLDER", default_value = "target/lab")]
         out: PathBuf,
     },
+    /// Run many real processes under faults that follow from a seed, and exit with 0 only if no rule was broken.
+    Soak {
+        /// The seeds to play, as in 1..50.
+        #[arg(long, default_value = "1..3", value_parser = seeds)]
+        seeds: std::ops::RangeInclusive<u64>,
+        /// Play this seed alone.
+        #[arg(long, conflicts_with = "seeds")]
+        replay: Option<u64>,
+        /// Balancers in each run.
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(1..=400))]
+        processes: u16,
+        /// How long clients come in each run.
+        #[arg(long, default_value_t = 6.0)]
+        seconds: f64,
+        /// One kind of faults alone.
+        #[arg(long)]
+        fault: Option<soak::FaultKind>,
+        /// Plant this bug, which must then be found.
+        #[arg(long)]
+        plant: Option<soak::Plant>,
+        /// Fail if a fault that was planned has never fired.
+        #[arg(long)]
+        all_must_fire: bool,
+        /// Where the folders of the runs go.
+        #[arg(long, value_name = "FOLDER", default_value = "target/lab")]
+        out: PathBuf,
+    },
     /// Print the JSON schema of experiment files, or of matrix files.
     Schema {
         /// Of which.
@@ -113,6 +141,13 @@
     serde_json::from_value(serde_json::Value::from(name)).map_err(|e| e.to_string())
 }
 
+/// Seeds as `FIRST..LAST`, both of them included.
+fn seeds(text: &str) -> Result<std::ops::RangeInclusive<u64>, String> {
+    let (first, last) = text.split_once("..").ok_or("wanted: FIRST..LAST")?;
+    let number = |text: &str| text.parse::<u64>().map_err(|e| e.to_string());
+    Ok(number(first)?..=number(last)?)
+}
+
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
         Command::Daemon => return marllink_node::serve(&marllink_node::Options::default()),
@@ -131,6 +166,12 @@
         Command::Model { file, plant, seeds, day, out, quiet } => {
             model(&file, plant, seeds, day, &out, quiet)
         }
+        Command::Soak { seeds, replay, processes, seconds, fault, plant, all_must_fire, out } => {
+            let seeds = replay.map_or(seeds, |seed| seed..=seed);
+            let processes = usize::from(processes);
+            let only = fault;
+            soak::run(&soak::Options { seeds, processes, seconds, only, plant, all_must_fire, out })
+        }
         Command::Run { file, plant, out, quiet } if come_backs(&file) => {
             come_back(&file, plant.as_deref(), &out, quiet)
         }
--- a/shim/src/calls.rs
+++ b/shim/src/calls.rs
@@ -296,16 +296,20 @@
     unsafe { libc::syscall(libc::SYS_fdatasync, file) as c_int }
 }
 
+/// A regular file by its path, or the log; `None` for other files.
 fn file_or_log(file: c_int) -> Option<Subject> {
-    if file == libc::STDERR_FILENO { Some(Subject::File("stderr".into())) } else { is_regular(file) }
-}
-
-fn is_regular(file: c_int) -> Option<Subject> {
+    if file == libc::STDERR_FILENO {
+        return Some(Subject::File("stderr".into()));
+    }
     // SAFETY: all bytes zero is a valid status.
     let mut status: libc::stat = unsafe { std::mem::zeroed() };
     // SAFETY: the kernel fills the status.
     let result = unsafe { libc::fstat(file, &raw mut status) };
-    (result == 0 && status.st_mode & libc::S_IFMT == libc::S_IFREG).then_some(Subject::Other)
+    if result != 0 || status.st_mode & libc::S_IFMT != libc::S_IFREG {
+        return None;
+    }
+    let path = std::fs::read_link(format!("/proc/self/fd/{file}")).ok()?;
+    Some(Subject::File(path.display().to_string()))
 }
 
 /// Stands in for `clock_gettime`: steps concern the wall clock alone.
