Rename handles, reject reasons and cancellation in the node to the field's terms

Need: errand, ticket, unsound, call_off, farewell and part are words of an earlier house style. No behaviour, wire form, key or log line changes.

--- a/node/src/exchange/holders.rs
+++ b/node/src/exchange/holders.rs
@@ -1,7 +1,7 @@
 //! What each side holds of a request: dropped, it gives that back, however its task ends.
 
 use super::record::{AttemptEnd, AttemptRecord, EndReason};
-use super::{CallOff, Entry, Exchange, Phase, Pipe};
+use super::{Cancellation, Entry, Exchange, Phase, Pipe};
 use crate::host::told::{self, Meaning, Seen};
 use crate::io::clock::Millis;
 use crate::protocol::report::{self, Report};
@@ -10,19 +10,19 @@
 use std::rc::{Rc, Weak};
 
 /// What the client side holds of a request. Dropped, it tells that the client has left.
-pub struct Ticket {
+pub struct RequestHandle {
     pub(super) exchange: Rc<Exchange>,
     pub(super) id: RequestId,
     pub(super) wait_ms: Millis,
 }
 
-impl std::fmt::Debug for Ticket {
+impl std::fmt::Debug for RequestHandle {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Ticket({:?})", self.id)
+        write!(f, "RequestHandle({:?})", self.id)
     }
 }
 
-impl Ticket {
+impl RequestHandle {
     /// How long the client still waited when the request was taken.
     pub fn wait_ms(&self) -> Millis {
         self.wait_ms
@@ -62,7 +62,7 @@
     }
 }
 
-impl Drop for Ticket {
+impl Drop for RequestHandle {
     fn drop(&mut self) {
         self.exchange.client_left(self.id);
     }
@@ -70,31 +70,31 @@
 
 /// What the server side holds of an attempt. Dropped, it tells how the attempt ended; its socket
 /// must be closed by then, as the next attempt may follow at once.
-pub struct Errand {
+pub struct AttemptHandle {
     pub(super) exchange: Rc<Exchange>,
     pub(super) id: RequestId,
     pub(super) attempt: AttemptNo,
     pub(super) server: ServerId,
-    pub(super) call_off: Rc<CallOff>,
+    pub(super) cancellation: Rc<Cancellation>,
     pub(super) sent_at: Millis,
     pub(super) end: Option<AttemptEnd>,
     pub(super) asked: std::cell::Cell<bool>,
 }
 
-impl std::fmt::Debug for Errand {
+impl std::fmt::Debug for AttemptHandle {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Errand({:?}, {:?}, {:?})", self.id, self.attempt, self.server)
+        write!(f, "AttemptHandle({:?}, {:?}, {:?})", self.id, self.attempt, self.server)
     }
 }
 
-impl Errand {
+impl AttemptHandle {
     /// Waits until the attempt is ended from the exchange's side, and tells how it has ended.
-    pub async fn called_off(&self) -> Outcome {
+    pub async fn cancelled(&self) -> Outcome {
         loop {
-            if let Some(outcome) = self.call_off.outcome.get() {
+            if let Some(outcome) = self.cancellation.outcome.get() {
                 return outcome;
             }
-            self.call_off.called.notified().await;
+            self.cancellation.called.notified().await;
         }
     }
 
@@ -213,7 +213,7 @@
     }
 }
 
-impl Drop for Errand {
+impl Drop for AttemptHandle {
     fn drop(&mut self) {
         let end = self.end.take().unwrap_or_else(|| AttemptEnd::cancelled(Outcome::Cancelled));
         let took_ms = self.exchange.clock.now() - self.sent_at;
--- a/node/src/exchange/mod.rs
+++ b/node/src/exchange/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The exchange owns each request from its first line to its end: which attempt is out for it,
 //! whether it has had its one final answer, and the rings between its two sockets. The client
-//! side holds a [`Ticket`] and the server side an [`Errand`]; each gives back what it stands for
+//! side holds a [`RequestHandle`] and the server side an [`AttemptHandle`]; each gives back what it stands for
 //! when it is dropped, however its task ends.
 
 mod holders;
@@ -22,7 +22,7 @@
 use crate::protocol::handover::Connection;
 use crate::protocol::line::{self, Opening};
 use crate::protocol::session::{self, FromClient};
-pub use holders::{Errand, ProbeResult, Ticket};
+pub use holders::{AttemptHandle, ProbeResult, RequestHandle};
 use marllink::{AttemptNo, ClassId, Effect, Event, NewRequest, Outcome, RequestId, ServerId, Sign, TenantId};
 use marllink_sessions::{Ask, Event as SessionEvent};
 pub use orders::{Adopted, Attempt, Order, Probe, Restores};
@@ -88,7 +88,7 @@
     out: Option<Out>,
     /// One that waits for that to end.
     next: Option<(ServerId, Millis)>,
-    /// The client side still holds its ticket.
+    /// The client side still holds its request handle.
     held: bool,
     /// What the decisions are asked once its session is its own.
     asks: Option<NewRequest>,
@@ -100,17 +100,17 @@
 struct Out {
     attempt: AttemptNo,
     server: ServerId,
-    call_off: Rc<CallOff>,
+    cancellation: Rc<Cancellation>,
 }
 
 /// By which an attempt that is out is ended from this side.
 #[derive(Default)]
-struct CallOff {
+struct Cancellation {
     outcome: Cell<Option<Outcome>>,
     called: Notify,
 }
 
-impl CallOff {
+impl Cancellation {
     /// Has the attempt end like this; the first call holds.
     fn call(&self, outcome: Outcome) {
         self.outcome.set(self.outcome.get().or(Some(outcome)));
@@ -187,7 +187,7 @@
         opening: Opening,
         pipe: Rc<Pipe>,
         patience_ms: Millis,
-    ) -> Result<Ticket, &'static str> {
+    ) -> Result<RequestHandle, &'static str> {
         let settings = self.tuning.now();
         let names = &settings.names;
         // A class taken for another would be served as what it is not.
@@ -257,7 +257,7 @@
             }
         }
         let exchange = self.me.upgrade().expect("it is in use");
-        Ok(Ticket { exchange, id, wait_ms: time_left_ms })
+        Ok(RequestHandle { exchange, id, wait_ms: time_left_ms })
     }
 
     /// Looks for connections whose form host has gone silent, and tells of slow messages.
@@ -285,7 +285,7 @@
             entry.record.over(EndReason::ServerSilent, now);
             entry.pipe.down.end(End::Reset);
             if let Some(out) = &entry.out {
-                out.call_off.call(Outcome::Reset);
+                out.cancellation.call(Outcome::Reset);
             }
         }
     }
@@ -372,7 +372,7 @@
             entry.record.over(EndReason::HandedOver, self.clock.now());
             entry.pipe.up.end(End::HandedOver);
             entry.pipe.down.end(End::HandedOver);
-            out.call_off.call(Outcome::Cancelled);
+            out.cancellation.call(Outcome::Cancelled);
         }
     }
 
@@ -388,7 +388,7 @@
         let pipe = Pipe::new();
         pipe.standing.set(true);
         pipe.load.set(load);
-        let call_off = Rc::new(CallOff::default());
+        let cancellation = Rc::new(Cancellation::default());
         let attempt = AttemptNo(0);
         let entry = Entry {
             _id: id_in_use,
@@ -396,7 +396,7 @@
             pipe: pipe.clone(),
             phase: Phase::Standing,
             attempts: 1,
-            out: Some(Out { attempt, server, call_off: call_off.clone() }),
+            out: Some(Out { attempt, server, cancellation: cancellation.clone() }),
             next: None,
             held: true,
             asks: session.is_some().then(NewRequest::default),
@@ -414,14 +414,23 @@
         if let (Some(passed), Some(resume)) = (session, &self.resume) {
             resume.feed(SessionEvent::Adopt { request, server, passed });
         }
-        let ticket = Ticket { exchange: exchange.clone(), id: request, wait_ms: f64::INFINITY };
+        let request_handle =
+            RequestHandle { exchange: exchange.clone(), id: request, wait_ms: f64::INFINITY };
         let (sent_at, end) = (self.clock.now(), None);
-        let errand =
-            Errand { exchange, id: request, attempt, server, call_off, sent_at, end, asked: Cell::default() };
+        let handle = AttemptHandle {
+            exchange,
+            id: request,
+            attempt,
+            server,
+            cancellation,
+            sent_at,
+            end,
+            asked: Cell::default(),
+        };
         let descriptor = self.descriptors.adopt();
-        let _ = self.orders.send(Order::Standing { socket: host, pipe: pipe.clone(), errand, descriptor });
+        let _ = self.orders.send(Order::Standing { socket: host, pipe: pipe.clone(), handle, descriptor });
         let descriptor = self.descriptors.adopt();
-        let _ = self.adopted.send(Adopted { socket: client, ticket, pipe, descriptor });
+        let _ = self.adopted.send(Adopted { socket: client, request_handle, pipe, descriptor });
     }
 
     /// Sessions, where they are switched on.
@@ -461,7 +470,7 @@
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&id) else { return };
         if matches!(entry.phase, Phase::Standing) {
-            self.finish(entry, End::Farewell(last.into()), EndReason::Session);
+            self.finish(entry, End::ClosingMessage(last.into()), EndReason::Session);
             drop(entries);
             self.closed(id);
             self.core.feed(Event::ClientGone(id));
@@ -549,7 +558,7 @@
         if !matches!(entry.phase, Phase::Waiting) {
             return;
         }
-        self.finish(entry, End::Farewell(line), reason);
+        self.finish(entry, End::ClosingMessage(line), reason);
         drop(entries);
         self.closed(id);
         self.forget(id);
@@ -614,7 +623,7 @@
         entry.pipe.down.end(end);
         entry.pipe.up.end(if reset { End::Reset } else { End::Closed });
         if let Some(out) = &entry.out {
-            out.call_off.call(Outcome::Cancelled);
+            out.cancellation.call(Outcome::Cancelled);
         }
     }
 
@@ -653,7 +662,7 @@
         let Some(entry) = entries.get_mut(&id) else { return };
         if let Some(out) = &entry.out {
             // One attempt out at a time: this one goes out once the other's socket is closed.
-            out.call_off.call(Outcome::Cancelled);
+            out.cancellation.call(Outcome::Cancelled);
             entry.next = Some((server, timeout_ms));
             return;
         }
@@ -673,14 +682,14 @@
             self.core.feed(Event::AttemptEnded { request: id, attempt, outcome, closed });
             return;
         };
-        let call_off = Rc::new(CallOff::default());
-        entry.out = Some(Out { attempt, server, call_off: call_off.clone() });
-        let errand = Errand {
+        let cancellation = Rc::new(Cancellation::default());
+        entry.out = Some(Out { attempt, server, cancellation: cancellation.clone() });
+        let handle = AttemptHandle {
             exchange: self.me.upgrade().expect("it is in use"),
             id,
             attempt,
             server,
-            call_off,
+            cancellation,
             sent_at: self.clock.now(),
             end: None,
             asked: Cell::default(),
@@ -696,8 +705,8 @@
         });
         let restores = opening.at.is_some().then(|| self.restores(&opening.class));
         let wait_ms = timeout_ms;
-        let attempt = Attempt { held_as, address, opening, wait_ms, restores, pipe, errand, descriptor };
-        // If the server side has ended, so has the program; the errand's drop ends the attempt.
+        let attempt = Attempt { held_as, address, opening, wait_ms, restores, pipe, handle, descriptor };
+        // If the server side has ended, so has the program; the handle's drop ends the attempt.
         let _ = self.orders.send(Order::Attempt(attempt));
     }
 
@@ -708,7 +717,7 @@
         if let Some(out) = entry.out.as_ref().filter(|o| o.attempt == attempt)
             && !matches!(entry.phase, Phase::Standing)
         {
-            out.call_off.call(Outcome::Cancelled);
+            out.cancellation.call(Outcome::Cancelled);
         }
     }
 
@@ -724,7 +733,7 @@
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&id) else { return };
         if matches!(entry.phase, Phase::Standing) {
-            self.finish(entry, End::Farewell("MOVE\r\n".into()), EndReason::Moved);
+            self.finish(entry, End::ClosingMessage("MOVE\r\n".into()), EndReason::Moved);
             drop(entries);
             self.closed(id);
         }
--- a/node/src/exchange/orders.rs
+++ b/node/src/exchange/orders.rs
@@ -1,6 +1,6 @@
 //! What the exchange asks of the client side and of the server side.
 
-use super::{Errand, Pipe, ProbeResult, Ticket};
+use super::{AttemptHandle, Pipe, ProbeResult, RequestHandle};
 use crate::io::clock::Millis;
 use crate::io::descriptors::Descriptor;
 use crate::protocol::line::Opening;
@@ -15,7 +15,7 @@
     /// The client's socket.
     pub socket: TcpStream,
     /// Its request.
-    pub ticket: Ticket,
+    pub request_handle: RequestHandle,
     /// The connection's two directions.
     pub pipe: Rc<Pipe>,
     /// For the socket.
@@ -34,7 +34,7 @@
         /// The connection's two directions.
         pipe: Rc<Pipe>,
         /// Tells the exchange what becomes of it.
-        errand: Errand,
+        handle: AttemptHandle,
         /// For the socket.
         descriptor: Descriptor,
     },
@@ -58,7 +58,7 @@
     /// The connection's two directions.
     pub pipe: Rc<Pipe>,
     /// Tells the exchange what becomes of it.
-    pub errand: Errand,
+    pub handle: AttemptHandle,
     /// For its socket.
     pub descriptor: Descriptor,
 }
--- a/node/src/exchange/pipe.rs
+++ b/node/src/exchange/pipe.rs
@@ -72,12 +72,12 @@
 
     /// Gives the client's socket back, once nothing is done with it any more: it is closed, or passed
     /// on with the connection.
-    pub fn part_from_client(&self, socket: TcpStream, descriptor: Descriptor) {
+    pub fn release_client(&self, socket: TcpStream, descriptor: Descriptor) {
         self.part(socket, descriptor, |handoff| &handoff.client);
     }
 
     /// The same for the form host's.
-    pub fn part_from_host(&self, socket: TcpStream, descriptor: Descriptor) {
+    pub fn release_server(&self, socket: TcpStream, descriptor: Descriptor) {
         self.part(socket, descriptor, |handoff| &handoff.host);
     }
 
--- a/node/src/front/line.rs
+++ b/node/src/front/line.rs
@@ -1,7 +1,7 @@
 //! The client side: takes connections, reads what they ask, and carries lines to and from the
 //! exchange. Knows nothing of form hosts.
 
-use crate::exchange::{Adopted, Exchange, Pipe, Ticket};
+use crate::exchange::{Adopted, Exchange, Pipe, RequestHandle};
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::{Descriptor, Descriptors, Purpose};
 use crate::io::listener::{self, Listener};
@@ -88,11 +88,11 @@
 
     /// Carries connections that another process has passed on, for ever.
     pub async fn adopt(self: Rc<Self>, mut adopted: mpsc::UnboundedReceiver<Adopted>) {
-        while let Some(Adopted { socket, ticket, pipe, descriptor }) = adopted.recv().await {
+        while let Some(Adopted { socket, request_handle, pipe, descriptor }) = adopted.recv().await {
             let clients = self.clone();
             tokio::task::spawn_local(async move {
-                clients.carry(&socket, ticket, &pipe).await;
-                pipe.part_from_client(socket, descriptor);
+                clients.carry(&socket, request_handle, &pipe).await;
+                pipe.release_client(socket, descriptor);
             });
         }
     }
@@ -133,23 +133,23 @@
         let until = self.clock.now() + OPENING_MS;
         let pipe = Pipe::new();
         match self.taken(&stream, &pipe, &place, until).await {
-            Ok((ticket, descriptor)) => {
+            Ok((request_handle, descriptor)) => {
                 drop(place);
-                self.carry(&stream, ticket, &pipe).await;
-                pipe.part_from_client(stream, descriptor);
+                self.carry(&stream, request_handle, &pipe).await;
+                pipe.release_client(stream, descriptor);
             }
-            Err(Unsound::Gone) => drop(stream),
-            Err(unsound) => {
-                if !matches!(unsound, Unsound::Refused(_)) {
-                    tracing::debug!("a client is turned away: {}", unsound.why());
+            Err(RejectReason::Gone) => drop(stream),
+            Err(reason) => {
+                if !matches!(reason, RejectReason::Refused(_)) {
+                    tracing::debug!("a client is turned away: {}", reason.why());
                     self.turned_away.set(self.turned_away.get() + 1);
                 }
-                let line = match unsound {
-                    Unsound::Refused(wait_ms) => line::busy(wait_ms),
+                let line = match reason {
+                    RejectReason::Refused(wait_ms) => line::busy(wait_ms),
                     _ => "ERR\r\n".into(),
                 };
                 let needed = async {
-                    if !matches!(unsound, Unsound::Needed) {
+                    if !matches!(reason, RejectReason::Needed) {
                         place.needed().await;
                     }
                 };
@@ -176,21 +176,25 @@
         pipe: &Rc<Pipe>,
         place: &Place,
         until: Millis,
-    ) -> Result<(Ticket, Descriptor), Unsound> {
+    ) -> Result<(RequestHandle, Descriptor), RejectReason> {
         let mut ending = self.ending.clone();
         let asked = tokio::select! {
             biased;
             asked = self.clock.within(OPENING_MS, self.asked(stream, pipe, place)) => asked,
-            () = place.needed() => Some(Err(Unsound::Needed)),
-            _ = ending.wait_for(|ending| *ending) => Some(Err(Unsound::Refused(0.0))),
+            () = place.needed() => Some(Err(RejectReason::Needed)),
+            _ = ending.wait_for(|ending| *ending) => Some(Err(RejectReason::Refused(0.0))),
         };
-        let opening = asked.unwrap_or(Err(Unsound::Late))?;
+        let opening = asked.unwrap_or(Err(RejectReason::Late))?;
         if *self.ending.borrow() {
-            return Err(Unsound::Refused(0.0));
+            return Err(RejectReason::Refused(0.0));
         }
         let Some(descriptor) = self.descriptors.take(Purpose::Served) else {
             let limits = &self.tuning.now().decisions.limits;
-            return Err(Unsound::Refused(if limits.retry_after { limits.max_retry_after_ms } else { 0.0 }));
+            return Err(RejectReason::Refused(if limits.retry_after {
+                limits.max_retry_after_ms
+            } else {
+                0.0
+            }));
         };
         if opening.at.is_some() {
             // What was open before may have to wait, and must not leave for that.
@@ -198,30 +202,30 @@
         }
         let left = until - self.clock.now();
         // It may leave while it waits for its form host to be listed, and may say nothing before its answer.
-        let ticket = tokio::select! {
+        let request_handle = tokio::select! {
             biased;
-            ticket = self.exchange.open(opening, pipe.clone(), left) => ticket.map_err(Unsound::Unservable)?,
+            request_handle = self.exchange.open(opening, pipe.clone(), left) => request_handle.map_err(RejectReason::Unservable)?,
             _ = pump::fill(stream, &pipe.up, || false) => {
-                return Err(if pipe.up.held() > 0 { Unsound::Malformed } else { Unsound::Gone });
+                return Err(if pipe.up.held() > 0 { RejectReason::Malformed } else { RejectReason::Gone });
             }
         };
-        Ok((ticket, descriptor))
+        Ok((request_handle, descriptor))
     }
 
     /// Reads until a client has asked for a connection, and answers `PING`s before.
-    async fn asked(&self, stream: &TcpStream, pipe: &Pipe, place: &Place) -> Result<Opening, Unsound> {
+    async fn asked(&self, stream: &TcpStream, pipe: &Pipe, place: &Place) -> Result<Opening, RejectReason> {
         for _ in 0..=MOST_PINGS {
             first_line(stream, pipe, place).await?;
             match self.hello(pipe) {
                 Some(Hello::Ping) => {
-                    pump::write_all(stream, b"PONG\r\n").await.map_err(|_| Unsound::Gone)?;
+                    pump::write_all(stream, b"PONG\r\n").await.map_err(|_| RejectReason::Gone)?;
                     place.answered();
                 }
                 Some(Hello::Open(opening)) => return Ok(*opening),
                 None => break,
             }
         }
-        Err(Unsound::Malformed)
+        Err(RejectReason::Malformed)
     }
 
     /// The first line, if it has come whole and is sound.
@@ -245,15 +249,15 @@
     }
 
     /// Carries one request and its connection.
-    async fn carry(&self, stream: &TcpStream, ticket: Ticket, pipe: &Pipe) {
+    async fn carry(&self, stream: &TcpStream, request_handle: RequestHandle, pipe: &Pipe) {
         let reading = pump::fill(stream, &pipe.up, || {
             if pipe.standing() && pipe.session.get() {
-                return ticket.sent_in_session(pipe);
+                return request_handle.sent_in_session(pipe);
             }
             if pipe.standing() {
-                ticket.sent(pipe);
+                request_handle.sent(pipe);
             } else {
-                ticket.malformed();
+                request_handle.malformed();
             }
             true
         });
@@ -269,7 +273,7 @@
         tokio::pin!(reading, writing);
         let mut client_may_send = true;
         let more = tokio::select! {
-            () = self.overdue(&ticket) => false,
+            () = self.overdue(&request_handle) => false,
             left = &mut reading => match left {
                 Filled::Closed if pipe.standing() => {
                     pipe.up.end(End::Closed);
@@ -305,9 +309,9 @@
     }
 
     /// Guards the client's time; ends only with the connection.
-    async fn overdue(&self, ticket: &Ticket) {
-        self.clock.sleep(ticket.wait_ms() + OVERDUE_MS).await;
-        ticket.overdue();
+    async fn overdue(&self, request_handle: &RequestHandle) {
+        self.clock.sleep(request_handle.wait_ms() + OVERDUE_MS).await;
+        request_handle.overdue();
         std::future::pending().await
     }
 
@@ -334,7 +338,7 @@
 
 /// A connection that is not served.
 #[derive(Debug)]
-enum Unsound {
+enum RejectReason {
     /// The client has closed or broken it.
     Gone,
     /// What came is not of the protocol.
@@ -349,7 +353,7 @@
     Refused(Millis),
 }
 
-impl Unsound {
+impl RejectReason {
     fn why(&self) -> &'static str {
         match self {
             Self::Gone => "it has left",
@@ -363,7 +367,7 @@
 }
 
 /// Waits until a first line is there, or too much for one.
-async fn first_line(stream: &TcpStream, pipe: &Pipe, place: &Place) -> Result<(), Unsound> {
+async fn first_line(stream: &TcpStream, pipe: &Pipe, place: &Place) -> Result<(), RejectReason> {
     let up = &pipe.up;
     let whole = || up.line().is_some() || up.held() > LONGEST;
     let arrived = || {
@@ -375,6 +379,6 @@
     }
     match pump::fill(stream, up, arrived).await {
         Filled::Stopped => Ok(()),
-        Filled::Closed | Filled::Broken(_) | Filled::DirectionEnded => Err(Unsound::Gone),
+        Filled::Closed | Filled::Broken(_) | Filled::DirectionEnded => Err(RejectReason::Gone),
     }
 }
--- a/node/src/host/server.rs
+++ b/node/src/host/server.rs
@@ -1,7 +1,7 @@
 //! The server side: makes attempts and probes at form hosts. Knows nothing of clients.
 
 use crate::exchange::record::{AttemptCause, AttemptEnd, Broken};
-use crate::exchange::{Attempt, Errand, Order, Pipe, Probe};
+use crate::exchange::{Attempt, AttemptHandle, Order, Pipe, Probe};
 use crate::host::backoff::Backoff;
 use crate::io::clock::{Clock, Millis};
 use crate::io::connect::{ConnectError, connect};
@@ -52,13 +52,13 @@
             tokio::task::spawn_local(async move {
                 match order {
                     Order::Attempt(attempt) => servers.attempt(attempt).await,
-                    Order::Standing { socket, pipe, errand, descriptor } => {
+                    Order::Standing { socket, pipe, handle, descriptor } => {
                         let end = tokio::select! {
                             biased;
-                            outcome = errand.called_off() => AttemptEnd::cancelled(outcome),
-                            end = servers.stand(&socket, &pipe, &errand) => end,
+                            outcome = handle.cancelled() => AttemptEnd::cancelled(outcome),
+                            end = servers.stand(&socket, &pipe, &handle) => end,
                         };
-                        servers.part(socket, descriptor, &pipe, errand, end).await;
+                        servers.part(socket, descriptor, &pipe, handle, end).await;
                     }
                     Order::Probe(probe) => servers.probe(probe).await,
                 }
@@ -71,11 +71,11 @@
     /// Nobody else can try again for a connection that is restored, as it belongs to this server: that is
     /// done here, until its client's time is over.
     async fn attempt(&self, attempt: Attempt) {
-        let Attempt { address, opening, held_as, wait_ms, restores, pipe, errand, descriptor } = attempt;
+        let Attempt { address, opening, held_as, wait_ms, restores, pipe, handle, descriptor } = attempt;
         let setup = SetUp { address, opening, held_as, until: self.clock.now() + wait_ms };
         let mut backoff = Backoff::default();
         let established = loop {
-            let end = match self.establish(&setup, &pipe, &errand).await {
+            let end = match self.establish(&setup, &pipe, &handle).await {
                 Ok(stream) => break Ok(stream),
                 Err(end) => end,
             };
@@ -84,10 +84,10 @@
             if !may_repeat || self.clock.now() + wait_ms >= setup.until {
                 break Err(end);
             }
-            errand.failed_once(end);
+            handle.failed_once(end);
             tokio::select! {
                 biased;
-                outcome = errand.called_off() => break Err(AttemptEnd::cancelled(outcome)),
+                outcome = handle.cancelled() => break Err(AttemptEnd::cancelled(outcome)),
                 () = self.clock.sleep(wait_ms) => {}
             }
         };
@@ -95,23 +95,28 @@
             Ok(stream) => {
                 let end = tokio::select! {
                     biased;
-                    outcome = errand.called_off() => AttemptEnd::cancelled(outcome),
-                    end = self.stand(&stream, &pipe, &errand) => end,
+                    outcome = handle.cancelled() => AttemptEnd::cancelled(outcome),
+                    end = self.stand(&stream, &pipe, &handle) => end,
                 };
-                self.part(stream, descriptor, &pipe, errand, end).await;
+                self.part(stream, descriptor, &pipe, handle, end).await;
             }
             Err(end) => {
                 drop(descriptor);
-                errand.end(end);
+                handle.end(end);
             }
         }
     }
 
     /// Connects, sends the first line and waits for the answer. The socket is closed again if that fails.
-    async fn establish(&self, setup: &SetUp, pipe: &Pipe, errand: &Errand) -> Result<TcpStream, AttemptEnd> {
+    async fn establish(
+        &self,
+        setup: &SetUp,
+        pipe: &Pipe,
+        handle: &AttemptHandle,
+    ) -> Result<TcpStream, AttemptEnd> {
         let connecting = async {
             let left = setup.until - self.clock.now();
-            let stream = self.connect(setup.address, left, || errand.no_connection()).await;
+            let stream = self.connect(setup.address, left, || handle.no_connection()).await;
             // Its client may have left in the same instant: whatever has happened by now is heard of before the first
             // byte.
             tokio::task::yield_now().await;
@@ -119,7 +124,7 @@
         };
         let stream = tokio::select! {
             biased;
-            outcome = errand.called_off() => return Err(AttemptEnd::cancelled(outcome)),
+            outcome = handle.cancelled() => return Err(AttemptEnd::cancelled(outcome)),
             stream = connecting => stream.map_err(|error| {
                 let outcome = match error {
                     ConnectError::Local(_) => Outcome::NotSent,
@@ -129,20 +134,20 @@
             })?,
         };
         // What was open before goes to its form host, draining or not.
-        if setup.opening.at.is_none() && !errand.may_begin() {
+        if setup.opening.at.is_none() && !handle.may_begin() {
             return Err(AttemptEnd::new(Outcome::NotSent, AttemptCause::ServerDraining));
         }
         let left = setup.until - self.clock.now();
         let head = setup.opening.for_host(left, setup.held_as.as_deref());
         let answered = tokio::select! {
             biased;
-            outcome = errand.called_off() => Err(AttemptEnd::cancelled(outcome)),
-            answered = self.set_up(&stream, &head, left, pipe, errand) => answered,
+            outcome = handle.cancelled() => Err(AttemptEnd::cancelled(outcome)),
+            answered = self.set_up(&stream, &head, left, pipe, handle) => answered,
         };
         match answered {
             Ok(()) => Ok(stream),
             Err(end) => {
-                self.finish_socket(&stream, pipe, errand).await;
+                self.finish_socket(&stream, pipe, handle).await;
                 Err(end)
             }
         }
@@ -174,7 +179,7 @@
         head: &[u8],
         wait_ms: Millis,
         pipe: &Pipe,
-        errand: &Errand,
+        handle: &AttemptHandle,
     ) -> Result<(), AttemptEnd> {
         let until = self.clock.now() + wait_ms;
         // A line whose last byte was not written has not been heard.
@@ -189,15 +194,15 @@
         let left = until - self.clock.now();
         let answer = if pipe.session.get() {
             let silent = async {
-                self.clock.sleep(errand.asks_within()).await;
-                if errand.asks() || errand.leased() {
+                self.clock.sleep(handle.asks_within()).await;
+                if handle.asks() || handle.leased() {
                     std::future::pending::<()>().await;
                 }
             };
             let answer = async {
                 tokio::select! {
                     biased;
-                    line = session_answer(stream, pipe, errand) => Some(line),
+                    line = session_answer(stream, pipe, handle) => Some(line),
                     () = silent => None,
                 }
             };
@@ -208,7 +213,7 @@
         let line = match answer {
             Some(Ok(line)) => line,
             // One that waits for its keepers is not to blame.
-            None if pipe.session.get() && errand.asks() => {
+            None if pipe.session.get() && handle.asks() => {
                 down.discard(down.held());
                 return Err(AttemptEnd::new(Outcome::Cancelled, AttemptCause::NoAnswer));
             }
@@ -223,10 +228,10 @@
         };
         let outcome = match line::reply(&line) {
             // It has a session that nobody gave it.
-            Reply::Up if pipe.session.get() && !errand.leased() => Outcome::Error,
+            Reply::Up if pipe.session.get() && !handle.leased() => Outcome::Error,
             Reply::Up => {
                 down.commit(line.len());
-                return if errand.established() {
+                return if handle.established() {
                     Ok(())
                 } else {
                     Err(AttemptEnd::cancelled(Outcome::Cancelled))
@@ -246,9 +251,9 @@
     }
 
     /// Passes lines on until the connection ends.
-    async fn stand(&self, stream: &TcpStream, pipe: &Pipe, errand: &Errand) -> AttemptEnd {
+    async fn stand(&self, stream: &TcpStream, pipe: &Pipe, handle: &AttemptHandle) -> AttemptEnd {
         let last = &pipe.last_word;
-        let arrived = || pass_lines(pipe, errand);
+        let arrived = || pass_lines(pipe, handle);
         // Lines may have come along with the first.
         if !arrived() {
             return Self::endless(pipe);
@@ -301,7 +306,7 @@
     /// What the host sends is no line, and none can come after it. Its client has nothing of it and can be sent away
     /// between two lines.
     fn endless(pipe: &Pipe) -> AttemptEnd {
-        pipe.down.end(End::Farewell("MOVE\r\n".into()));
+        pipe.down.end(End::ClosingMessage("MOVE\r\n".into()));
         AttemptEnd::new(Outcome::Reset, AttemptCause::EndlessLine)
     }
 
@@ -334,20 +339,20 @@
         socket: TcpStream,
         descriptor: Descriptor,
         pipe: &Pipe,
-        errand: Errand,
+        handle: AttemptHandle,
         end: AttemptEnd,
     ) {
-        self.finish_socket(&socket, pipe, &errand).await;
-        pipe.part_from_host(socket, descriptor);
-        errand.end(end);
+        self.finish_socket(&socket, pipe, &handle).await;
+        pipe.release_server(socket, descriptor);
+        handle.end(end);
     }
 
     /// Prepares a server's socket for its close.
-    async fn finish_socket(&self, socket: &TcpStream, pipe: &Pipe, errand: &Errand) {
+    async fn finish_socket(&self, socket: &TcpStream, pipe: &Pipe, handle: &AttemptHandle) {
         if pipe.session.get() && !pipe.handed_over() {
             let _ = SockRef::from(socket).shutdown(Shutdown::Write);
             let rest = async { while let Ok(true) = pump::discard(socket, DROPPED).await {} };
-            self.clock.within(errand.hold_ms(), rest).await;
+            self.clock.within(handle.hold_ms(), rest).await;
         }
         if pipe.up.broken() {
             pump::reset(socket);
@@ -360,7 +365,7 @@
 
 /// Reads the answer of a form host that is to hold a session: before that it asks for a lease, and is
 /// told what has been saved.
-async fn session_answer(stream: &TcpStream, pipe: &Pipe, errand: &Errand) -> Result<Vec<u8>, Broken> {
+async fn session_answer(stream: &TcpStream, pipe: &Pipe, handle: &AttemptHandle) -> Result<Vec<u8>, Broken> {
     let telling = async {
         loop {
             pipe.to_host.some().await;
@@ -374,7 +379,7 @@
             let line = first_line(stream, &pipe.down).await?;
             let Some(FromHost::Renew(k)) = session::from_host(&line) else { return Ok(line) };
             pipe.down.discard(line.len());
-            errand.renews(k);
+            handle.renews(k);
         }
     };
     tokio::select! {
@@ -399,18 +404,18 @@
 
 /// Passes whole lines on to the client, so that it can be told to move between two of them at any
 /// time. False if a line is too long to be one.
-fn pass_lines(pipe: &Pipe, errand: &Errand) -> bool {
+fn pass_lines(pipe: &Pipe, handle: &AttemptHandle) -> bool {
     let last = &pipe.last_word;
     while let Some(line) = pipe.down.line() {
         match session::from_host(&line).filter(|_| pipe.session.get()) {
             Some(FromHost::Renew(k)) => {
                 pipe.down.take(line.len());
-                errand.renews(k);
+                handle.renews(k);
                 continue;
             }
             Some(FromHost::Saved(n)) => {
                 pipe.down.commit(line.len());
-                errand.saved(pipe, n);
+                handle.saved(pipe, n);
                 continue;
             }
             Some(FromHost::Taken) => {
@@ -422,10 +427,10 @@
         }
         last.set(None);
         match line::reply(&line) {
-            Reply::Load(load) => errand.load(pipe, load),
+            Reply::Load(load) => handle.load(pipe, load),
             Reply::Bye(_) => last.set(Some(Outcome::Ok)),
             Reply::Move => last.set(Some(Outcome::Cancelled)),
-            _ => errand.answered(pipe),
+            _ => handle.answered(pipe),
         }
         pipe.down.commit(line.len());
     }
--- a/node/src/io/pump.rs
+++ b/node/src/io/pump.rs
@@ -71,7 +71,7 @@
                 return false;
             }
             Some(End::HandedOver) => return false,
-            Some(End::Farewell(line)) => {
+            Some(End::ClosingMessage(line)) => {
                 // Who does not take its last line in time does not get it.
                 let _ = write_all(stream, line.as_bytes()).await;
                 return false;
--- a/node/src/io/ring.rs
+++ b/node/src/io/ring.rs
@@ -19,7 +19,7 @@
     /// The connection broke.
     Reset,
     /// This line goes out, and then the connection is closed in both directions.
-    Farewell(String),
+    ClosingMessage(String),
     /// Another process goes on with the connection. Only a ring that is idle may end so.
     HandedOver,
 }
@@ -302,7 +302,7 @@
         for (end, expected) in [
             (End::Closed, &b"one\r\ntw"[..]),
             (End::Reset, &b"one\r\n"[..]),
-            (End::Farewell("MOVE\r\n".into()), &b"one\r\n"[..]),
+            (End::ClosingMessage("MOVE\r\n".into()), &b"one\r\n"[..]),
         ] {
             let ring = Ring::new();
             put(&ring, b"one\r\ntw");
