Draw no address twice for the processes of one experiment

Seen: in a soak with 200 processes a client was cut off without an answer. Cause: a free address is drawn and given back, so that two of 200 processes may get the same one; both then listen there, and each gets a part of the other's clients. b3 and b130 had 127.103.16.1:41703 in their configurations.

--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -51,10 +51,14 @@
     /// # Errors
     /// Fails if a folder can't be made or no address is free.
     pub fn new(ledger: Rc<Ledger>, program: PathBuf, folder: PathBuf, count: usize) -> io::Result<Self> {
-        let mut each = Vec::new();
-        for n in 0..count {
-            std::fs::create_dir_all(folder.join(format!("b{n}")))?;
-            each.push(Balancer { listen: free()?, child: RefCell::default(), starts: Cell::default() });
+        let mut each = Vec::<Balancer>::new();
+        while each.len() < count {
+            // An address that is free may be one that another balancer is about to have, and both could listen there.
+            let listen = free()?;
+            if each.iter().all(|other| other.listen != listen) {
+                std::fs::create_dir_all(folder.join(format!("b{}", each.len())))?;
+                each.push(Balancer { listen, child: RefCell::default(), starts: Cell::default() });
+            }
         }
         Ok(Self { ledger, program, folder, each, cuts: RefCell::default(), environment: Vec::new() })
     }
