--- a/review/src/lib.rs
+++ b/review/src/lib.rs
@@ -130,6 +130,31 @@
         Self { listen: free_address(), folder, child: RefCell::default(), operators, record: record.clone() }
     }
 
+    /// Prepares another process of the same balancer: with its address, its folder and its configuration.
+    #[must_use]
+    pub fn successor(&self) -> Self {
+        let (folder, operators) = (self.folder.clone(), self.operators.clone());
+        Self {
+            listen: self.listen,
+            folder,
+            child: RefCell::default(),
+            operators,
+            record: self.record.clone(),
+        }
+    }
+
+    /// Waits for up to 5 s until the balancer's log contains this text.
+    pub async fn wait_for_log(&self, text: &str) -> bool {
+        for _ in 0..250 {
+            let log = std::fs::read(self.folder.join("log")).unwrap_or_default();
+            if String::from_utf8_lossy(&log).contains(text) {
+                return true;
+            }
+            sleep(20).await;
+        }
+        false
+    }
+
     /// The folder of this balancer.
     #[must_use]
     pub fn folder(&self) -> &Path {
