--- a/review/src/bin/lost_after_upgrade.rs
+++ b/review/src/bin/lost_after_upgrade.rs
@@ -4,11 +4,11 @@
 
 use marllink_review::*;
 use std::cell::RefCell;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 const SERVERS: usize = 4;
@@ -31,34 +31,6 @@
     std::process::exit(code);
 }
 
-/// A sound server: answers `UP`, echoes lines, answers probes.
-async fn start_server() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
-    let address = listener.local_addr().expect("a bound socket has an address");
-    tokio::task::spawn_local(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(async move {
-                let (reader, mut writer) = stream.into_split();
-                let mut reader = BufReader::new(reader);
-                let mut line = String::new();
-                while matches!(reader.read_line(&mut line).await, Ok(n) if n > 0) {
-                    let answer = match line.split(' ').next().unwrap_or_default().trim_end() {
-                        "OPEN" => "UP 1f\r\n".to_owned(),
-                        "PING" => "PONG\r\n".to_owned(),
-                        "STATS" => "PONG x0=0.2,inflight=4\r\n".to_owned(),
-                        _ => line.clone(),
-                    };
-                    if writer.write_all(answer.as_bytes()).await.is_err() {
-                        return;
-                    }
-                    line.clear();
-                }
-            });
-        }
-    });
-    address
-}
-
 /// What became of one request.
 struct Outcome {
     sent_at: f64,
@@ -113,7 +85,7 @@
     let record = Record::create();
     let mut listed = Vec::new();
     for s in 0..SERVERS {
-        let endpoint = start_server().await;
+        let endpoint = start_server(|_| ()).await;
         listed.push(Listed {
             uid: format!("s-{s}"),
             endpoint,
--- a/review/src/lib.rs
+++ b/review/src/lib.rs
@@ -352,6 +352,42 @@
     stream.write_all(format!("{:x}\r\n{text}\n\r\n", text.len() + 1).as_bytes()).await
 }
 
+/// Starts a sound server without sessions: it answers `UP`, echoes lines and answers probes. `on_request` is
+/// called with each request.
+///
+/// # Panics
+/// Panics if no address is free.
+pub async fn start_server(on_request: impl Fn(&str) + Clone + 'static) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("a bound socket has an address");
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let on_request = on_request.clone();
+            tokio::task::spawn_local(async move {
+                let (reader, mut writer) = stream.into_split();
+                let mut reader = BufReader::new(reader);
+                let mut line = String::new();
+                while matches!(reader.read_line(&mut line).await, Ok(n) if n > 0) {
+                    let answer = match line.split(' ').next().unwrap_or_default().trim_end() {
+                        "OPEN" => {
+                            on_request(line.trim_end());
+                            "UP 1f\r\n".to_owned()
+                        }
+                        "PING" => "PONG\r\n".to_owned(),
+                        "STATS" => "PONG x0=0.2,inflight=4\r\n".to_owned(),
+                        _ => line.clone(),
+                    };
+                    if writer.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    line.clear();
+                }
+            });
+        }
+    });
+    address
+}
+
 /// A proxy before one address of a server: the network between one balancer and this server. It passes
 /// bytes on both ways, and can cut the server off.
 pub struct Proxy {
