--- a/review/src/lib.rs
+++ b/review/src/lib.rs
@@ -228,7 +228,8 @@
     pub fn signal(&self, name: &str) {
         if let Some(child) = &*self.child.borrow() {
             self.record.note(&format!("signal {name} to the balancer at {}", self.listen));
-            let _ = Command::new("/bin/kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+            let kill = format!("kill -{name} {}", child.id());
+            let _ = Command::new("/bin/sh").args(["-c", &kill]).status();
         }
     }
 
