--- a/review/src/lib.rs
+++ b/review/src/lib.rs
@@ -213,6 +213,11 @@
         }
         let child = command.spawn().expect("the shell can be started");
         self.record.note(&format!("balancer at {} started as process {}", self.listen, child.id()));
+        if let Some(work) = std::env::var_os("WORK") {
+            // Whatever is left when the case is interrupted is ended by these ids.
+            let pids = File::options().create(true).append(true).open(PathBuf::from(work).join("pids"));
+            let _ = pids.and_then(|mut pids| writeln!(pids, "{}", child.id()));
+        }
         self.child.replace(Some(child));
         for _ in 0..200 {
             if answer_to(self.listen, "PING").await.is_some_and(|line| line == "PONG") {
