Fail a claim only if too few replicas have a vote, by answers to its last query

Cause, two parts. Claim::next_step compared promises plus unanswered replicas with the majority and left out replicas that refuse for a lease or a higher ballot; these still have a vote and may give it to the next query. And a claim is repeated under its ballot, for instance with the proof that the holder has released the session: an answer that was under way then was taken for the answer to the repeated query.

Evidence: sessions/tests/claim_interleavings.rs runs a claim against emulated replicas in every order in which answers may arrive, with an early timer or a lost link.

Why it works: a claim fails only if the replicas that may have a vote are fewer than a majority. Each call of a claim has a number; replies on a link come in the order of the calls, so a reply is matched to the oldest unanswered call with its session and ballot, and counts only if that is the last query (or the pointer of this claim). A query is repeated only with new content, so a slow replica isn't overtaken by repeats of the same query. Nothing changes on the wire.

By reading only, without a run that shows it: replies to a pointer under a ballot that an abandoned claim had used before could be counted for the pointer of the next claim; they are matched by the same numbers now.

--- a/sessions/src/claim.rs
+++ b/sessions/src/claim.rs
@@ -1,13 +1,14 @@
 //! State of a claim on a session: the answers of its replicas and the resulting next step.
 
+use crate::pending_calls::CallNumber;
 use marllink::{Millis, RequestId};
 use marllink_lease_protocol::{Ballot, Configuration, Holder, Pointer, Promised};
 
 /// Answer of a replica to a claim.
 #[derive(Clone, Debug)]
 pub enum ReplicaAnswer {
-    /// No answer yet.
-    Pending,
+    /// No answer to the last query, or no query sent yet.
+    Pending(Option<SentQuery>),
     /// The replica promises the claim.
     Promised(Box<Promised>),
     /// The replica has no record of the session, or has restarted since. It has no vote.
@@ -25,6 +26,25 @@
     },
 }
 
+/// A query that was sent to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentQuery {
+    /// Number of the call.
+    pub call: CallNumber,
+    /// Highest ballot up to which the query stated that all holders have released the session.
+    pub proof: Option<Ballot>,
+}
+
+/// A pointer to a later configuration that a claim completes.
+#[derive(Clone, Debug)]
+pub struct PendingPointer {
+    pub pointer: Pointer,
+    /// Number of the call that was sent to the replicas.
+    pub call: CallNumber,
+    /// The servers that have stored it.
+    pub stored_by: Vec<u64>,
+}
+
 /// A claim in progress.
 #[derive(Debug)]
 pub struct Claim {
@@ -43,8 +63,8 @@
     pub released_ballot: Option<Ballot>,
     /// The holder that was requested to release the session.
     pub release_requested: Option<Holder>,
-    /// A pointer that is being completed, and the servers that have stored it.
-    pub pending_pointer: Option<(Pointer, Vec<u64>)>,
+    /// The pointer that is being completed.
+    pub pending_pointer: Option<PendingPointer>,
     /// True if the session was already known to this process before the claim.
     pub was_known: bool,
 }
@@ -73,7 +93,7 @@
 impl Claim {
     /// Starts over with these replicas.
     pub fn query(&mut self, replicas: Configuration) {
-        self.answers = vec![ReplicaAnswer::Pending; replicas.members.len()];
+        self.answers = vec![ReplicaAnswer::Pending(None); replicas.members.len()];
         self.replicas = replicas;
         self.pending_pointer = None;
     }
@@ -89,17 +109,43 @@
     pub fn retry_refused(&mut self) {
         for answer in &mut self.answers {
             if matches!(answer, ReplicaAnswer::HigherBallot(_) | ReplicaAnswer::Leased { .. }) {
-                *answer = ReplicaAnswer::Pending;
+                *answer = ReplicaAnswer::Pending(None);
             }
         }
     }
 
+    /// Forgets the query that was sent to a server on a link that has ended since: it may be lost.
+    pub fn forget_query(&mut self, server: u64) {
+        if let Some(answer @ ReplicaAnswer::Pending(Some(_))) = self.answer_of(server) {
+            *answer = ReplicaAnswer::Pending(None);
+        }
+    }
+
+    /// Returns true if a query must be sent to a replica with this answer: none was sent, or one without the
+    /// proof that there is now.
+    pub fn needs_query(&self, answer: &ReplicaAnswer) -> bool {
+        match answer {
+            ReplicaAnswer::Pending(None) => true,
+            ReplicaAnswer::Pending(Some(sent)) => sent.proof < self.released_ballot,
+            _ => false,
+        }
+    }
+
     /// Returns the answer of this server.
     pub fn answer_of(&mut self, server: u64) -> Option<&mut ReplicaAnswer> {
         let index = self.replicas.members.iter().position(|m| m.server == server)?;
         self.answers.get_mut(index)
     }
 
+    /// Returns the answer of this server, to be set from the reply to a call. Returns `None` if the call was
+    /// not the last one to this server: an answer to an earlier query says nothing about a later one.
+    pub fn answer_to(&mut self, server: u64, call: CallNumber) -> Option<&mut ReplicaAnswer> {
+        let is_pointer_call = self.pending_pointer.as_ref().is_some_and(|pending| pending.call == call);
+        let answer = self.answer_of(server)?;
+        let is_last_query = matches!(answer, ReplicaAnswer::Pending(Some(sent)) if sent.call == call);
+        (is_last_query || is_pointer_call).then_some(answer)
+    }
+
     /// Determines the next step from the answers so far.
     pub fn next_step(&self) -> Step {
         let majority = self.replicas.majority();
@@ -111,14 +157,12 @@
         if promised.len() >= majority {
             return self.decide_by_majority(&promised);
         }
-        let pending = self.answers.iter().filter(|a| matches!(a, ReplicaAnswer::Pending)).count();
-        // An unreachable replica never answers, so refusals must be resolved without waiting for it.
-        let refused =
-            |a: &ReplicaAnswer| matches!(a, ReplicaAnswer::HigherBallot(_) | ReplicaAnswer::Leased { .. });
-        let majority_possible = promised.len() + pending >= majority;
-        if majority_possible && !self.answers.iter().any(refused) {
-            return Step::Wait;
+        // A replica that refuses still has a vote, which it may give to a later query.
+        let votes = self.answers.iter().filter(|a| !matches!(a, ReplicaAnswer::NoRecord)).count();
+        if votes < majority {
+            return Step::ReplicasLost;
         }
+        // An unreachable replica never answers, so refusals must be resolved without waiting for it.
         let higher_epoch = self.answers.iter().filter_map(|a| match a {
             ReplicaAnswer::HigherBallot(ballot) => Some(ballot.epoch),
             _ => None,
@@ -150,8 +194,7 @@
         remaining.sort_by(f64::total_cmp);
         match remaining.get(missing - 1) {
             Some(remaining) => Step::RetryAfter(*remaining),
-            None if majority_possible => Step::Wait,
-            None => Step::ReplicasLost,
+            None => Step::Wait,
         }
     }
 
@@ -182,144 +225,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use marllink_lease_protocol::{Journal, Member};
-
-    fn ballot(epoch: u64, attempt: u32) -> Ballot {
-        Ballot { epoch, attempt }
-    }
-
-    fn replicas(number: u32, servers: &[u64]) -> Configuration {
-        let members = servers.iter().map(|n| Member { server: *n, incarnation: 1 }).collect();
-        Configuration { number, members }
-    }
-
-    fn claim(answers: [ReplicaAnswer; 3]) -> Claim {
-        Claim {
-            request: RequestId(1),
-            token_epoch: 5,
-            ballot: ballot(6, 0),
-            replicas: replicas(1, &[1, 2, 3]),
-            answers: answers.into(),
-            deadline: 0.0,
-            retry_at: 0.0,
-            released_ballot: None,
-            release_requested: None,
-            pending_pointer: None,
-            was_known: false,
-        }
-    }
-
-    fn promised(written: Ballot, upto: u64, pointers: &[(Ballot, Configuration)]) -> ReplicaAnswer {
-        let pointers =
-            pointers.iter().map(|(ballot, to)| Pointer { ballot: *ballot, to: to.clone() }).collect();
-        let journal = Journal { upto, fields: Vec::new() };
-        ReplicaAnswer::Promised(Box::new(Promised { written, journal, pointers, ..Promised::default() }))
-    }
-
-    fn leased(remaining_ms: f64, holder: Option<Ballot>, promised: Ballot) -> ReplicaAnswer {
-        ReplicaAnswer::Leased {
-            remaining_ms,
-            holder: holder.map(|ballot| Holder { ballot, server: 9 }),
-            promised,
-        }
-    }
-
-    fn won(step: Step) -> (Ballot, u64) {
-        let Step::Won(record) = step else { panic!("{step:?}") };
-        (record.written, record.journal.upto)
-    }
-
-    #[test]
-    fn the_record_with_the_highest_ballot_and_then_the_longest_journal_wins() {
-        let two_promises =
-            || [promised(ballot(4, 1), 90, &[]), promised(ballot(5, 1), 10, &[]), ReplicaAnswer::Pending];
-        assert_eq!(won(claim(two_promises()).next_step()), (ballot(5, 1), 10));
-        let mut all = two_promises();
-        all[2] = promised(ballot(5, 1), 12, &[]);
-        assert_eq!(won(claim(all).next_step()), (ballot(5, 1), 12));
-    }
-
-    #[test]
-    fn a_claim_without_a_majority_of_promises_never_wins() {
-        let promise = || promised(ballot(5, 1), 1, &[]);
-        assert_eq!(
-            claim([promise(), ReplicaAnswer::NoRecord, ReplicaAnswer::Pending]).next_step(),
-            Step::Wait
-        );
-        assert_eq!(
-            claim([promise(), ReplicaAnswer::NoRecord, ReplicaAnswer::NoRecord]).next_step(),
-            Step::ReplicasLost
-        );
-        assert_eq!(
-            claim([promise(), ReplicaAnswer::NoRecord, ReplicaAnswer::HigherBallot(ballot(8, 0))])
-                .next_step(),
-            Step::RaiseBallot(8)
-        );
-        let (longer, shorter) = (leased(300.0, None, ballot(7, 0)), leased(200.0, None, ballot(7, 0)));
-        assert_eq!(claim([promise(), longer.clone(), shorter.clone()]).next_step(), Step::RetryAfter(200.0));
-        assert_eq!(claim([longer, shorter, ReplicaAnswer::NoRecord]).next_step(), Step::RetryAfter(300.0));
-        // One replica is unreachable: the refusal of another must be acted on without waiting for it.
-        let higher_epoch = ReplicaAnswer::HigherBallot(ballot(8, 0));
-        assert_eq!(
-            claim([promise(), higher_epoch, ReplicaAnswer::Pending]).next_step(),
-            Step::RaiseBallot(8)
-        );
-        let leased = leased(200.0, None, ballot(7, 0));
-        assert_eq!(claim([promise(), leased, ReplicaAnswer::Pending]).next_step(), Step::RetryAfter(200.0));
-    }
-
-    #[test]
-    fn a_holder_is_asked_to_release_once_and_not_if_a_later_claim_was_promised() {
-        let leased_by_holder = || leased(1_000.0, Some(ballot(5, 1)), ballot(5, 1));
-        let mut holder_known = claim([leased_by_holder(), leased_by_holder(), ReplicaAnswer::Pending]);
-        holder_known.answers[2] = leased_by_holder();
-        let Step::RequestRelease(holder) = holder_known.next_step() else {
-            panic!("{:?}", holder_known.next_step())
-        };
-        assert_eq!((holder.server, holder.ballot), (9, ballot(5, 1)));
-        holder_known.release_requested = Some(holder);
-        assert_eq!(holder_known.next_step(), Step::RetryAfter(1_000.0));
-        let claimed_later =
-            claim([leased_by_holder(), leased(500.0, None, ballot(6, 0)), leased(500.0, None, ballot(6, 0))]);
-        assert_eq!(claimed_later.next_step(), Step::RetryAfter(500.0));
-    }
-
-    #[test]
-    fn a_pointer_is_followed_once_a_majority_has_it_and_ignored_if_older_than_a_journal() {
-        let target = || replicas(2, &[1, 2, 4]);
-        let with_pointer = || promised(ballot(5, 1), 1, &[(ballot(5, 1), target())]);
-        let without_pointer = || promised(ballot(5, 1), 1, &[]);
-        assert_eq!(
-            claim([with_pointer(), with_pointer(), ReplicaAnswer::Pending]).next_step(),
-            Step::FollowPointer(target())
-        );
-        let step = claim([with_pointer(), without_pointer(), ReplicaAnswer::Pending]).next_step();
-        assert_eq!(step, Step::CompletePointer(Pointer { ballot: ballot(5, 1), to: target() }));
-        let later = promised(ballot(5, 2), 1, &[]);
-        assert_eq!(
-            won(claim([with_pointer(), later, ReplicaAnswer::Pending]).next_step()),
-            (ballot(5, 2), 1)
-        );
-        // A record written under the later configuration shows that the pointer was completed.
-        let mut written = promised(ballot(5, 4), 9, &[(ballot(5, 1), target())]);
-        if let ReplicaAnswer::Promised(record) = &mut written {
-            record.configuration = 2;
-        }
-        assert_eq!(
-            claim([written, without_pointer(), ReplicaAnswer::Pending]).next_step(),
-            Step::FollowPointer(target())
-        );
-        // Pointers are followed one configuration at a time.
-        let pointers = [(ballot(5, 1), target()), (ballot(5, 1), replicas(3, &[4, 5, 6]))];
-        let both = || promised(ballot(5, 1), 1, &pointers);
-        assert_eq!(
-            claim([both(), both(), ReplicaAnswer::Pending]).next_step(),
-            Step::FollowPointer(target())
-        );
-        let mut in_second = claim([both(), both(), without_pointer()]);
-        in_second.replicas = replicas(2, &[1, 2, 4]);
-        assert_eq!(in_second.next_step(), Step::FollowPointer(replicas(3, &[4, 5, 6])));
-    }
-}
+mod tests;
--- a/sessions/src/lib.rs
+++ b/sessions/src/lib.rs
@@ -9,6 +9,7 @@
 mod interface;
 mod journal;
 mod keys;
+mod pending_calls;
 mod placement;
 mod session;
 mod state_machine;
--- a/sessions/src/state_machine.rs
+++ b/sessions/src/state_machine.rs
@@ -7,6 +7,7 @@
 
 use crate::interface::*;
 use crate::keys::KeyRing;
+use crate::pending_calls::CallNumber;
 use crate::placement::Candidate;
 use crate::session::{Session, State};
 use crate::timers::{TimerKey, Timers};
@@ -52,6 +53,8 @@
     sessions_by_replica: FxHashMap<u64, FxHashSet<SessionId>>,
     /// Sessions with a claim in progress.
     claiming: FxHashSet<SessionId>,
+    /// Number of the last call of a claim.
+    last_call: u64,
     /// Sessions whose holder has requested a lease that is not granted yet.
     awaiting_lease: FxHashSet<SessionId>,
     /// Sessions whose replicas are to be reviewed, in order.
@@ -87,6 +90,7 @@
             requests: FxHashMap::default(),
             sessions_by_replica: FxHashMap::default(),
             claiming: FxHashSet::default(),
+            last_call: 0,
             awaiting_lease: FxHashSet::default(),
             review_queue: VecDeque::new(),
             queued_for_review: FxHashSet::default(),
@@ -230,6 +234,11 @@
         self.unix_offset_ms + self.now
     }
 
+    fn next_call_number(&mut self) -> CallNumber {
+        self.last_call += 1;
+        CallNumber(self.last_call)
+    }
+
     fn random_fraction(&mut self) -> f64 {
         (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
--- a/sessions/src/state_machine/claims.rs
+++ b/sessions/src/state_machine/claims.rs
@@ -1,14 +1,15 @@
 //! Claims on sessions: from a client's token to ownership of its session.
 
 use super::{Sessions, TimerKey};
-use crate::claim::{Claim, ReplicaAnswer, Step};
+use crate::claim::{Claim, PendingPointer, ReplicaAnswer, SentQuery, Step};
 use crate::interface::{Command, LogEvent, Rejection, SessionRequest};
+use crate::pending_calls::CallNumber;
 use crate::session::{Session, State};
 use crate::token::Token;
 use marllink::{Millis, RequestId, ServerId};
 use marllink_lease_protocol::{
-    Ballot, Call, Claim as ClaimCall, Configuration, LetGo, Point, Pointer, Promised, Refused, SessionId,
-    Why, call,
+    Ballot, Call, Claim as ClaimCall, Configuration, LetGo, Member, Point, Pointer, Promised, Refused,
+    SessionId, Why, call,
 };
 use rand_xoshiro::rand_core::Rng;
 
@@ -146,44 +147,42 @@
         self.query_replicas(id, None, commands);
     }
 
+    /// Returns the claim on a session that is in progress.
+    fn claim_in_progress(&mut self, id: SessionId) -> Option<&mut Claim> {
+        match &mut self.sessions.get_mut(&id)?.state {
+            State::Claiming(claim) => Some(claim),
+            _ => None,
+        }
+    }
+
+    /// Continues the claims that wait for this server, whose link has just come up.
+    pub(super) fn query_linked_server(&mut self, server: u64, commands: &mut Vec<Command>) {
+        let mut claims: Vec<_> = self.claiming.iter().copied().collect();
+        claims.sort_unstable();
+        for id in claims {
+            if let Some(claim) = self.claim_in_progress(id) {
+                claim.forget_query(server);
+            }
+            self.query_replicas(id, Some(server), commands);
+        }
+    }
+
     /// Sends the claim to the replicas that have not answered: to all of them, or only to one whose link has
     /// just come up.
     pub(super) fn query_replicas(&mut self, id: SessionId, only: Option<u64>, commands: &mut Vec<Command>) {
-        let Some(State::Claiming(claim)) = self.sessions.get_mut(&id).map(|s| &mut s.state) else { return };
-        let call = ClaimCall {
-            session: id,
-            ballot: claim.ballot,
-            configuration: claim.replicas.number,
-            token_epoch: claim.token_epoch,
-            proof: claim.released_ballot,
-        };
+        let Some(claim) = self.claim_in_progress(id) else { return };
         // The link to the holder has just come up, and its release is still outstanding.
         let release_due = claim
             .release_requested
             .filter(|h| only == Some(h.server) && claim.released_ballot < Some(h.ballot));
-        let members = claim.replicas.members.clone();
+        let members = claim.replicas.members.iter().zip(&claim.answers);
         let unanswered: Vec<_> = members
-            .into_iter()
-            .zip(&claim.answers)
-            .filter(|(_, a)| matches!(a, ReplicaAnswer::Pending))
+            .filter(|(_, answer)| claim.needs_query(answer))
+            .map(|(member, _)| *member)
+            .filter(|member| only.is_none_or(|only| only == member.server))
             .collect();
-        let unanswered: Vec<_> = unanswered.into_iter().map(|(m, _)| m).collect();
-        for member in unanswered.into_iter().filter(|m| only.is_none_or(|only| only == m.server)) {
-            match self.servers.get(&member.server) {
-                Some(server) if server.is_linked_as(member.incarnation) => {
-                    let server = ServerId(member.server);
-                    commands.push(Command::Call { server, call: Call::new(call::Body::Claim(call)) });
-                }
-                // The server has restarted and lost its records.
-                Some(server) if server.is_linked() => {
-                    if let Some(State::Claiming(claim)) = self.sessions.get_mut(&id).map(|s| &mut s.state)
-                        && let Some(answer) = claim.answer_of(member.server)
-                    {
-                        *answer = ReplicaAnswer::NoRecord;
-                    }
-                }
-                _ => self.ensure_link(member.server, commands),
-            }
+        for member in unanswered {
+            self.query_replica(id, member, commands);
         }
         if let Some(holder) = release_due {
             self.request_release(id, holder.server, holder.ballot, commands);
@@ -191,6 +190,50 @@
         self.evaluate_answers(id, commands);
     }
 
+    /// Sends the claim to one replica, or establishes a link to it.
+    fn query_replica(&mut self, id: SessionId, member: Member, commands: &mut Vec<Command>) {
+        match self.servers.get(&member.server) {
+            Some(server) if server.is_linked_as(member.incarnation) => {
+                let number = self.next_call_number();
+                let Some(claim) = self.claim_in_progress(id) else { return };
+                let call = ClaimCall {
+                    session: id,
+                    ballot: claim.ballot,
+                    configuration: claim.replicas.number,
+                    token_epoch: claim.token_epoch,
+                    proof: claim.released_ballot,
+                };
+                if let Some(answer) = claim.answer_of(member.server) {
+                    *answer = ReplicaAnswer::Pending(Some(SentQuery { call: number, proof: call.proof }));
+                }
+                self.send_claim_call(id, member, number, call::Body::Claim(call), commands);
+            }
+            // The server has restarted and lost its records.
+            Some(server) if server.is_linked() => {
+                if let Some(answer) = self.claim_in_progress(id).and_then(|c| c.answer_of(member.server)) {
+                    *answer = ReplicaAnswer::NoRecord;
+                }
+            }
+            _ => self.ensure_link(member.server, commands),
+        }
+    }
+
+    /// Sends a numbered call of a claim to a replica whose link is up.
+    fn send_claim_call(
+        &mut self,
+        id: SessionId,
+        member: Member,
+        number: CallNumber,
+        body: call::Body,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(ballot) = self.claim_in_progress(id).map(|claim| claim.ballot) else { return };
+        if let Some(server) = self.servers.get_mut(&member.server) {
+            server.pending_calls.add(id, ballot, number);
+            commands.push(Command::Call { server: ServerId(member.server), call: Call::new(body) });
+        }
+    }
+
     fn request_release(&mut self, id: SessionId, holder: u64, ballot: Ballot, commands: &mut Vec<Command>) {
         if self.servers.get(&holder).is_some_and(super::Server::is_linked) {
             let call = Call::new(call::Body::LetGo(LetGo { session: id, ballot }));
@@ -204,7 +247,7 @@
     fn evaluate_answers(&mut self, id: SessionId, commands: &mut Vec<Command>) {
         let now = self.now;
         let backoff = MIN_BACKOFF_MS * (1.0 + self.random_fraction());
-        let Some(State::Claiming(claim)) = self.sessions.get_mut(&id).map(|s| &mut s.state) else { return };
+        let Some(claim) = self.claim_in_progress(id) else { return };
         claim.retry_at = f64::INFINITY;
         match claim.next_step() {
             Step::Wait => {}
@@ -214,11 +257,8 @@
                 return self.query_replicas(id, None, commands);
             }
             Step::CompletePointer(pointer) => {
-                if claim.pending_pointer.as_ref().is_none_or(|(other, _)| other.to != pointer.to) {
-                    let pointer = Pointer { ballot: claim.ballot, to: pointer.to };
-                    claim.pending_pointer = Some((pointer.clone(), Vec::new()));
-                    let members = claim.replicas.members.clone();
-                    self.call_members(&members, &call::Body::Point(Point { session: id, pointer }), commands);
+                if claim.pending_pointer.as_ref().is_none_or(|pending| pending.pointer.to != pointer.to) {
+                    self.complete_pointer(id, pointer.to, commands);
                 }
             }
             Step::RaiseBallot(_) => claim.retry_at = now + backoff,
@@ -231,7 +271,7 @@
                 let at = now + remaining_ms + LEASE_END_MARGIN_MS;
                 if at <= claim.deadline {
                     claim.retry_at = at;
-                } else if !claim.answers.iter().any(|a| matches!(a, ReplicaAnswer::Pending)) {
+                } else if !claim.answers.iter().any(|a| matches!(a, ReplicaAnswer::Pending(_))) {
                     return self.decline_claim(id, remaining_ms, commands);
                 }
             }
@@ -240,10 +280,25 @@
         self.schedule(id);
     }
 
+    /// Writes a pointer to a later configuration, under the claim's ballot, to the replicas.
+    fn complete_pointer(&mut self, id: SessionId, to: Configuration, commands: &mut Vec<Command>) {
+        let number = self.next_call_number();
+        let Some(claim) = self.claim_in_progress(id) else { return };
+        let pointer = Pointer { ballot: claim.ballot, to };
+        claim.pending_pointer =
+            Some(PendingPointer { pointer: pointer.clone(), call: number, stored_by: Vec::new() });
+        for member in claim.replicas.members.clone() {
+            if self.servers.get(&member.server).is_some_and(|s| s.is_linked_as(member.incarnation)) {
+                let body = call::Body::Point(Point { session: id, pointer: pointer.clone() });
+                self.send_claim_call(id, member, number, body, commands);
+            }
+        }
+    }
+
     /// Handles the timer of a claim: its deadline or the time of a retry.
     pub(super) fn on_claim_timer(&mut self, id: SessionId, commands: &mut Vec<Command>) {
         let now = self.now;
-        let Some(State::Claiming(claim)) = self.sessions.get_mut(&id).map(|s| &mut s.state) else { return };
+        let Some(claim) = self.claim_in_progress(id) else { return };
         if now >= claim.deadline {
             return self.decline_claim(id, CONFLICT_RETRY_MS, commands);
         }
@@ -266,32 +321,38 @@
 
     pub(super) fn on_promised(&mut self, server: ServerId, promised: Promised, commands: &mut Vec<Command>) {
         let id = promised.session;
-        let Some(State::Claiming(claim)) = self.sessions.get_mut(&id).map(|s| &mut s.state) else { return };
-        if claim.ballot != promised.ballot {
-            return;
-        }
-        if let Some(answer) = claim.answer_of(server.0) {
+        let Some(call) = self.take_answered_call(server, id, promised.ballot) else { return };
+        let Some(claim) = self.claim_in_progress(id) else { return };
+        if let Some(answer) = claim.answer_to(server.0, call) {
             *answer = ReplicaAnswer::Promised(Box::new(promised));
             self.evaluate_answers(id, commands);
         }
     }
 
+    /// Returns the number of the claim's call that a reply answers, if there is one.
+    pub(super) fn take_answered_call(
+        &mut self,
+        server: ServerId,
+        session: SessionId,
+        ballot: Ballot,
+    ) -> Option<CallNumber> {
+        self.servers.get_mut(&server.0)?.pending_calls.take_answered(session, ballot)
+    }
+
     pub(super) fn on_claim_refused(
         &mut self,
         server: ServerId,
+        call: CallNumber,
         refused: Refused,
         reason: Why,
         commands: &mut Vec<Command>,
     ) {
         let id = refused.session;
-        let Some(State::Claiming(claim)) = self.sessions.get_mut(&id).map(|s| &mut s.state) else { return };
-        if claim.ballot != refused.ballot {
-            return;
-        }
+        let Some(claim) = self.claim_in_progress(id) else { return };
+        let Some(answer) = claim.answer_to(server.0, call) else { return };
         if reason == Why::Stale {
             return self.reject_claim(id, Rejection::Replayed, commands);
         }
-        let Some(answer) = claim.answer_of(server.0) else { return };
         *answer = match reason {
             Why::Leased => ReplicaAnswer::Leased {
                 remaining_ms: f64::from(refused.left_ms),
@@ -323,13 +384,23 @@
         self.on_claim_timer(released.session, commands);
     }
 
-    /// Continues with the new replicas once the pointer to them is stored at a majority.
-    pub(super) fn on_pointer_stored(&mut self, id: SessionId, commands: &mut Vec<Command>) {
-        let Some(State::Claiming(claim)) = self.sessions.get_mut(&id).map(|s| &mut s.state) else { return };
-        let completed = |(pointer, stored_by): &mut (Pointer, Vec<u64>)| {
-            (stored_by.len() >= claim.replicas.majority()).then(|| pointer.to.clone())
+    /// Handles the reply to a pointer, and continues with the new replicas once it is stored at a majority.
+    pub(super) fn on_pointer_stored(
+        &mut self,
+        server: ServerId,
+        call: CallNumber,
+        id: SessionId,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(claim) = self.claim_in_progress(id) else { return };
+        let Some(pending) = claim.pending_pointer.as_mut().filter(|pending| pending.call == call) else {
+            return;
         };
-        if let Some(replicas) = claim.pending_pointer.as_mut().and_then(completed) {
+        if !pending.stored_by.contains(&server.0) {
+            pending.stored_by.push(server.0);
+        }
+        if pending.stored_by.len() >= claim.replicas.majority() {
+            let replicas = pending.pointer.to.clone();
             claim.query(replicas);
             self.query_replicas(id, None, commands);
         }
@@ -393,7 +464,7 @@
                 session: id,
                 configuration: claim.replicas.number,
                 promised: count(|a| matches!(a, ReplicaAnswer::Promised(_))),
-                unanswered: count(|a| matches!(a, ReplicaAnswer::Pending)),
+                unanswered: count(|a| matches!(a, ReplicaAnswer::Pending(_))),
                 no_record: count(|a| matches!(a, ReplicaAnswer::NoRecord)),
                 refused: count(|a| {
                     matches!(a, ReplicaAnswer::HigherBallot(_) | ReplicaAnswer::Leased { .. })
--- a/sessions/src/state_machine/replication.rs
+++ b/sessions/src/state_machine/replication.rs
@@ -2,6 +2,7 @@
 
 use super::{Sessions, TimerKey};
 use crate::interface::{Command, ListedServer, LogEvent};
+use crate::pending_calls::PendingCalls;
 use crate::placement;
 use crate::session::{ReplicaState, State};
 use marllink::{Millis, ServerId, ZoneId};
@@ -46,6 +47,8 @@
     lease_lapsed: bool,
     /// Unanswered renewals: their numbers and the times at which they were sent.
     pending_renewals: VecDeque<(u64, Millis)>,
+    /// Unanswered calls of claims on the current link.
+    pub pending_calls: PendingCalls,
     /// Number of the last renewal sent.
     last_renewal: u64,
     /// Time of the next renewal, or of the next attempt to re-establish the link while it is down.
@@ -172,12 +175,11 @@
         entry.lease_lapsed = true;
         entry.lease_generation += 1;
         entry.pending_renewals.clear();
+        entry.pending_calls.clear();
         entry.next_attempt_at = now;
         self.on_link_timer(server.0, commands);
         // The replica must receive the lease renewal, which has just been sent, before any claim.
-        let mut claims: Vec<_> = self.claiming.iter().copied().collect();
-        claims.sort_unstable();
-        claims.into_iter().for_each(|id| self.query_replicas(id, Some(server.0), commands));
+        self.query_linked_server(server.0, commands);
         self.queue_reviews_of(server.0);
     }
 
@@ -357,16 +359,12 @@
 
     fn on_stored(&mut self, server: ServerId, stored: Stored, commands: &mut Vec<Command>) {
         let id = stored.session;
+        if let Some(call) = self.take_answered_call(server, id, stored.ballot) {
+            self.on_pointer_stored(server, call, id, commands);
+            return;
+        }
         let Some(session) = self.sessions.get_mut(&id) else { return };
-        if let State::Claiming(claim) = &mut session.state {
-            if claim.ballot == stored.ballot
-                && let Some((pointer, stored_by)) = &mut claim.pending_pointer
-                && pointer.to.number == stored.pointer
-                && !stored_by.contains(&server.0)
-            {
-                stored_by.push(server.0);
-                self.on_pointer_stored(id, commands);
-            }
+        if matches!(session.state, State::Claiming(_)) {
             return;
         }
         if session.ballot != stored.ballot {
@@ -392,9 +390,12 @@
     fn on_refused(&mut self, server: ServerId, refused: Refused, commands: &mut Vec<Command>) {
         let id = refused.session;
         let reason = Why::try_from(refused.why).unwrap_or(Why::Unknown);
+        if let Some(call) = self.take_answered_call(server, id, refused.ballot) {
+            self.on_claim_refused(server, call, refused, reason, commands);
+            return;
+        }
         let Some(session) = self.sessions.get_mut(&id) else { return };
         if matches!(session.state, State::Claiming(_)) {
-            self.on_claim_refused(server, refused, reason, commands);
             return;
         }
         if session.ballot != refused.ballot {
