Keep a session held after a reset until its lease ends or its server confirms the release

Cause: Backend::prepare_close ended the wait for the server's own end of the connection with any error, and told the replicas that nobody held the session. That is only the last of several places: once a read or a write has met the reset, the system reports it no more, and the next read returns the end of the stream, just as after an orderly close.

Why it works: the first end that a read or a write sees on a connection to a server is kept for the attempt, and only an orderly close counts as the server's release. Every other end, a task that died included, is reported as HolderEnd::Lost, and the state machine itself keeps the session in State::Expiring until its lease is over; a takeover waits as long. So that a reachable server need not be waited for, it is asked to release the session, over its link and again when that comes up, and its reply ends the hold as it does for a claim. An attempt that fails before the server has accepted waits for the end of the lease as it did for a silent server, as the next attempt may start right after it.

--- a/node/src/backend/server.rs
+++ b/node/src/backend/server.rs
@@ -2,11 +2,11 @@
 
 use crate::backend::backoff::Backoff;
 use crate::exchange::record::{AttemptCause, AttemptEnd, ConnectionLoss};
-use crate::exchange::{Attempt, AttemptHandle, BackendCommand, Pipe, Probe};
+use crate::exchange::{Attempt, AttemptHandle, BackendCommand, ConnectionEnd, Pipe, Probe};
 use crate::io::clock::{Clock, Millis};
 use crate::io::connect::{ConnectError, connect};
 use crate::io::descriptors::Descriptor;
-use crate::io::pump::{self, FillEnd};
+use crate::io::pump::{self, FillEnd, FlushEnd};
 use crate::io::ring::{End, Ring};
 use crate::operations::active_settings::ActiveSettings;
 use crate::protocol::line::{self, MAX_LINE_BYTES, OpenRequest, ServerLine};
@@ -158,6 +158,8 @@
             Ok(()) => Ok(stream),
             Err(end) => {
                 self.prepare_close(&stream, pipe, handle).await;
+                // The next attempt may start as soon as this one has ended.
+                self.wait_for_lease_end(handle).await;
                 Err(end)
             }
         }
@@ -197,6 +199,7 @@
         match self.clock.within(wait_ms, pump::write_all(stream, first_line)).await {
             Some(Ok(())) => {}
             Some(Err(error)) => {
+                handle.record_connection_end(ConnectionEnd::Failed);
                 return Err(AttemptEnd::new(Outcome::ConnectFailed, AttemptCause::Write(error)));
             }
             None => return Err(AttemptEnd::new(Outcome::ConnectFailed, AttemptCause::WriteTimedOut)),
@@ -219,7 +222,7 @@
             };
             self.clock.within(left_ms, answer).await.flatten()
         } else {
-            self.clock.within(left_ms, read_first_line(stream, received)).await
+            self.clock.within(left_ms, read_first_line(stream, received, handle)).await
         };
         let line = match answer {
             Some(Ok(line)) => line,
@@ -280,12 +283,20 @@
         tokio::pin!(reading, writing);
         let (end, client_left) = tokio::select! {
             end = &mut reading => (end, false),
-            more = &mut writing => {
+            flushed = &mut writing => {
                 // The client has closed its side; the server may still send.
-                let end = if more { self.clock.within(LINGER_MS, &mut reading).await } else { None };
+                let end = match flushed {
+                    FlushEnd::Closed => self.clock.within(LINGER_MS, &mut reading).await,
+                    FlushEnd::Ended => None,
+                    FlushEnd::Broken => {
+                        handle.record_connection_end(ConnectionEnd::Failed);
+                        None
+                    }
+                };
                 (end.unwrap_or(FillEnd::Stopped), true)
             }
         };
+        record_connection_end(&end, handle);
         match end {
             FillEnd::Closed => {
                 pipe.server_to_client.end(End::Closed);
@@ -329,7 +340,9 @@
         let query_load = async {
             let stream = self.connect(address, PROBE_TIMEOUT_MS, || result.connect_timed_out()).await.ok()?;
             pump::write_all(&stream, query).await.ok()?;
-            let line = read_first_line(&stream, &Ring::new()).await.ok()?;
+            let ring = Ring::new();
+            let filled = fill_first_line(&stream, &ring).await;
+            let line = first_line(&ring, filled).ok()?;
             match line::parse_server_line(&line) {
                 ServerLine::Pong(report) => Some(report),
                 _ => None,
@@ -344,8 +357,7 @@
 
 impl Backend {
     /// Releases a server's socket and reports the end of the attempt, in this order: the next attempt may
-    /// only start after the socket is closed. A server may hold a session until it closes its side or its
-    /// lease expires, so the release waits for that.
+    /// only start after the socket is closed.
     async fn release(
         &self,
         socket: TcpStream,
@@ -362,10 +374,7 @@
     /// Prepares a server's socket to be closed.
     async fn prepare_close(&self, socket: &TcpStream, pipe: &Pipe, handle: &AttemptHandle) {
         if pipe.has_session.get() && !pipe.handed_over() {
-            let _ = SockRef::from(socket).shutdown(Shutdown::Write);
-            let remaining_input =
-                async { while let Ok(true) = pump::discard(socket, DISCARD_CHUNK_BYTES).await {} };
-            self.clock.within(handle.hold_ms(), remaining_input).await;
+            self.wait_for_server_close(socket, handle).await;
         }
         if pipe.client_to_server.is_reset() {
             pump::reset(socket);
@@ -374,6 +383,50 @@
             pump::drop_unread(socket);
         }
     }
+
+    /// Closes this side of a connection with a session, and waits until the server has closed its side, the
+    /// connection has failed, or the server's lease has expired.
+    async fn wait_for_server_close(&self, socket: &TcpStream, handle: &AttemptHandle) {
+        let _ = SockRef::from(socket).shutdown(Shutdown::Write);
+        if handle.connection_end().is_some() {
+            return;
+        }
+        let remaining_input = async {
+            loop {
+                match pump::discard(socket, DISCARD_CHUNK_BYTES).await {
+                    Ok(true) => {}
+                    Ok(false) => return ConnectionEnd::Closed,
+                    Err(_) => return ConnectionEnd::Failed,
+                }
+            }
+        };
+        if let Some(end) = self.clock.within(handle.hold_ms(), remaining_input).await {
+            handle.record_connection_end(end);
+        }
+    }
+
+    /// Waits until the server of a connection that it has not closed holds the session no longer.
+    async fn wait_for_lease_end(&self, handle: &AttemptHandle) {
+        if handle.connection_end() == Some(ConnectionEnd::Closed) {
+            return;
+        }
+        loop {
+            let hold_ms = handle.hold_ms();
+            if hold_ms <= 0.0 {
+                return;
+            }
+            self.clock.sleep(hold_ms).await;
+        }
+    }
+}
+
+/// Records how reading from a server ended, if the connection has ended with it.
+fn record_connection_end(end: &FillEnd, handle: &AttemptHandle) {
+    match end {
+        FillEnd::Closed => handle.record_connection_end(ConnectionEnd::Closed),
+        FillEnd::Broken(_) => handle.record_connection_end(ConnectionEnd::Failed),
+        FillEnd::Stopped | FillEnd::DirectionEnded => {}
+    }
 }
 
 /// Reads the answer of a server that is to hold a session. Before it answers, the server requests a lease
@@ -387,13 +440,14 @@
         loop {
             pipe.inserted_to_server.wait_for_lines().await;
             if pump::write_all(stream, &pipe.inserted_to_server.take()).await.is_err() {
+                handle.record_connection_end(ConnectionEnd::Failed);
                 return;
             }
         }
     };
     let reading_answer = async {
         loop {
-            let line = read_first_line(stream, &pipe.server_to_client).await?;
+            let line = read_first_line(stream, &pipe.server_to_client, handle).await?;
             let Some(FromServer::Renew(k)) = session::from_server(&line) else { return Ok(line) };
             pipe.server_to_client.discard(line.len());
             handle.request_lease(k);
@@ -407,9 +461,24 @@
 }
 
 /// Reads the first line and leaves it in the ring.
-async fn read_first_line(stream: &TcpStream, ring: &Ring) -> Result<Vec<u8>, ConnectionLoss> {
+async fn read_first_line(
+    stream: &TcpStream,
+    ring: &Ring,
+    handle: &AttemptHandle,
+) -> Result<Vec<u8>, ConnectionLoss> {
+    let filled = fill_first_line(stream, ring).await;
+    record_connection_end(&filled, handle);
+    first_line(ring, filled)
+}
+
+/// Fills the ring until it holds a complete line or too many bytes.
+async fn fill_first_line(stream: &TcpStream, ring: &Ring) -> FillEnd {
     let complete = || ring.peek_line().is_some() || ring.uncommitted() > MAX_LINE_BYTES;
-    let filled = pump::fill(stream, ring, || !complete()).await;
+    pump::fill(stream, ring, || !complete()).await
+}
+
+/// Returns the first line of the ring, or why there is none after filling it.
+fn first_line(ring: &Ring, filled: FillEnd) -> Result<Vec<u8>, ConnectionLoss> {
     let line = ring.peek_line().filter(|line| line.len() <= MAX_LINE_BYTES);
     line.ok_or(match filled {
         FillEnd::Closed => ConnectionLoss::EndOfStream,
--- a/node/src/exchange/handles.rs
+++ b/node/src/exchange/handles.rs
@@ -7,7 +7,8 @@
 use crate::io::clock::Millis;
 use crate::protocol::report::{self, Report};
 use marllink::{AttemptNo, Event, Outcome, RequestId, ServerId, Symptom};
-use marllink_sessions::Event as SessionEvent;
+use marllink_sessions::{Event as SessionEvent, HolderEnd};
+use std::cell::Cell;
 use std::rc::{Rc, Weak};
 
 /// The client side's handle of a request. Dropping it reports that the client has left.
@@ -80,7 +81,17 @@
     pub(super) cancellation: Rc<Cancellation>,
     pub(super) sent_at: Millis,
     pub(super) end: Option<AttemptEnd>,
-    pub(super) lease_requested: std::cell::Cell<bool>,
+    pub(super) lease_requested: Cell<bool>,
+    pub(super) connection_end: Cell<Option<ConnectionEnd>>,
+}
+
+/// How the connection to a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The server closed its side in order.
+    Closed,
+    /// A read or a write failed. The server may not have noticed it.
+    Failed,
 }
 
 impl std::fmt::Debug for AttemptHandle {
@@ -216,6 +227,17 @@
         }
     }
 
+    /// Records how the connection to the server ended; later calls are ignored. The system reports a failure
+    /// once: further reads return the end of the stream, as if the server had closed it.
+    pub fn record_connection_end(&self, end: ConnectionEnd) {
+        self.connection_end.set(self.connection_end.get().or(Some(end)));
+    }
+
+    /// Returns how the connection to the server ended, if it has ended.
+    pub fn connection_end(&self) -> Option<ConnectionEnd> {
+        self.connection_end.get()
+    }
+
     /// Reports how the attempt ended. Must be called after its socket is closed.
     pub fn end(mut self, end: AttemptEnd) {
         self.end = Some(end);
@@ -227,7 +249,11 @@
         let end = self.end.take().unwrap_or_else(|| AttemptEnd::cancelled(Outcome::Cancelled));
         let took_ms = self.exchange.clock.now() - self.sent_at;
         let record = AttemptRecord { server: self.server, end, took_ms };
-        self.exchange.attempt_ended(self.id, self.attempt, record);
+        let holder_end = match self.connection_end.get() {
+            Some(ConnectionEnd::Closed) => HolderEnd::Released,
+            Some(ConnectionEnd::Failed) | None => HolderEnd::Lost,
+        };
+        self.exchange.attempt_ended(self.id, self.attempt, record, holder_end);
     }
 }
 
--- a/node/src/exchange/mod.rs
+++ b/node/src/exchange/mod.rs
@@ -23,11 +23,11 @@
 use crate::protocol::line::{self, OpenRequest};
 use crate::protocol::session::{self, FromClient};
 pub use commands::{AdoptedClient, Attempt, BackendCommand, Probe, RestoreRetry};
-pub use handles::{AttemptHandle, ProbeResult, RequestHandle};
+pub use handles::{AttemptHandle, ConnectionEnd, ProbeResult, RequestHandle};
 use marllink::{
     AttemptNo, ClassId, Event, Idempotency, NewRequest, Outcome, RequestId, ServerId, Symptom, TenantId,
 };
-use marllink_sessions::{Event as SessionEvent, SessionRequest};
+use marllink_sessions::{Event as SessionEvent, HolderEnd, SessionRequest};
 use pipe::Handoff;
 pub use pipe::{HandedOffConnection, HandedOffSocket, Pipe};
 use record::{AttemptCause, AttemptEnd, AttemptRecord, EndReason, RequestRecord};
@@ -456,6 +456,7 @@
             sent_at,
             end,
             lease_requested: Cell::default(),
+            connection_end: Cell::default(),
         };
         let descriptor = self.descriptors.adopt();
         let _ = self.backend_commands.send(BackendCommand::Established {
@@ -628,7 +629,7 @@
     }
 
     /// Handles the end of an attempt, whose socket is closed by now.
-    fn attempt_ended(&self, id: RequestId, attempt: AttemptNo, record: AttemptRecord) {
+    fn attempt_ended(&self, id: RequestId, attempt: AttemptNo, record: AttemptRecord, holder: HolderEnd) {
         let outcome = record.end.outcome;
         let mut entries = self.entries.borrow_mut();
         let Some(entry) = entries.get_mut(&id) else { return };
@@ -648,8 +649,8 @@
         let has_session = entry.session_request.is_some();
         drop(entries);
         if let Some(session_driver) = self.session_driver.as_ref().filter(|_| has_session) {
-            session_driver
-                .feed(SessionEvent::AttemptEnded { request: id, session_over: outcome == Outcome::Ok });
+            let session_over = outcome == Outcome::Ok;
+            session_driver.feed(SessionEvent::AttemptEnded { request: id, session_over, holder });
             if closed {
                 self.request_closed(id);
             }
@@ -744,6 +745,7 @@
             sent_at: self.clock.now(),
             end: None,
             lease_requested: Cell::default(),
+            connection_end: Cell::default(),
         };
         let (open_request, pipe) = (entry.open_request.clone(), entry.pipe.clone());
         let has_session = entry.session_request.is_some();
--- a/node/src/exchange/session_driver.rs
+++ b/node/src/exchange/session_driver.rs
@@ -226,6 +226,17 @@
                 took_ms = took_ms.round()
             );
         }
+        LogEvent::HolderLost { session, server, hold_ms } => {
+            tracing::info!(
+                event = "session_holder_lost",
+                session = %session,
+                host = server.0,
+                hold_ms = hold_ms.round()
+            );
+        }
+        LogEvent::HolderReleased { session, server } => {
+            tracing::info!(event = "session_holder_released", session = %session, host = server.0);
+        }
         LogEvent::ReplicasChanged { session, configuration } => {
             tracing::info!(event = "session_rekept", session = %session, configuration);
         }
--- a/node/src/frontend/line.rs
+++ b/node/src/frontend/line.rs
@@ -5,7 +5,7 @@
 use crate::io::clock::{Clock, Millis};
 use crate::io::descriptors::{Descriptor, Descriptors, Purpose};
 use crate::io::listener::{self, Listener};
-use crate::io::pump::{self, FillEnd};
+use crate::io::pump::{self, FillEnd, FlushEnd};
 use crate::io::ring::End;
 use crate::io::slots::{Slot, Slots};
 use crate::operations::active_settings::ActiveSettings;
@@ -287,8 +287,8 @@
         };
         tokio::pin!(reading, writing);
         let mut client_sending = true;
-        let more = tokio::select! {
-            () = self.guard_deadline(&request_handle) => false,
+        let flushed = tokio::select! {
+            () = self.guard_deadline(&request_handle) => FlushEnd::Ended,
             end = &mut reading => match end {
                 FillEnd::Closed if pipe.is_established() => {
                     pipe.client_to_server.end(End::Closed);
@@ -305,12 +305,12 @@
                     // The connection to the server has ended: only the data already received from the
                     // server is still delivered.
                     client_sending = false;
-                    self.clock.within(LINGER_MS, &mut writing).await.unwrap_or(false)
+                    self.clock.within(LINGER_MS, &mut writing).await.unwrap_or(FlushEnd::Ended)
                 }
             },
-            more = &mut writing => more,
+            flushed = &mut writing => flushed,
         };
-        if more && client_sending {
+        if flushed == FlushEnd::Closed && client_sending {
             // The server has closed its side; the client may still send.
             match self.clock.within(LINGER_MS, &mut reading).await {
                 Some(FillEnd::Closed) => return pipe.client_to_server.end(End::Closed),
--- a/node/src/io/pump.rs
+++ b/node/src/io/pump.rs
@@ -24,6 +24,17 @@
     DirectionEnded,
 }
 
+/// Why flushing a ring stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlushEnd {
+    /// The direction was closed in order; the other one may continue.
+    Closed,
+    /// The direction ended in another way.
+    Ended,
+    /// The connection failed.
+    Broken,
+}
+
 /// Fills the ring from the socket until the sender closes, the connection fails or the direction ends.
 /// `on_data` is called after each read and returns whether to continue. The caller is responsible for ending
 /// the direction accordingly.
@@ -53,9 +64,8 @@
     FillEnd::DirectionEnded
 }
 
-/// Sends the ring's committed bytes, and ends the direction on the socket as it ended in the ring. Returns
-/// true if the other direction may continue.
-pub async fn flush(ring: &Ring, stream: &TcpStream) -> bool {
+/// Sends the ring's committed bytes, and ends the direction on the socket as it ended in the ring.
+pub async fn flush(ring: &Ring, stream: &TcpStream) -> FlushEnd {
     loop {
         match ring.ready().await {
             None => {
@@ -63,19 +73,26 @@
                 if let Err(error) = written.and_then(|()| ring.consume(|bytes| stream.try_write(bytes)))
                     && recover(error).await.is_err()
                 {
-                    return false;
+                    return FlushEnd::Broken;
                 }
             }
-            Some(End::Closed) => return SockRef::from(stream).shutdown(Shutdown::Write).is_ok(),
+            Some(End::Closed) => {
+                return match SockRef::from(stream).shutdown(Shutdown::Write) {
+                    Ok(()) => FlushEnd::Closed,
+                    Err(_) => FlushEnd::Broken,
+                };
+            }
             Some(End::Reset) => {
                 reset(stream);
-                return false;
+                return FlushEnd::Ended;
             }
-            Some(End::HandedOver) => return false,
+            Some(End::HandedOver) => return FlushEnd::Ended,
             Some(End::ClosingMessage(line)) => {
                 // Best effort: a client that does not read its closing message in time does not receive it.
-                let _ = write_all(stream, line.as_bytes()).await;
-                return false;
+                return match write_all(stream, line.as_bytes()).await {
+                    Ok(()) => FlushEnd::Ended,
+                    Err(_) => FlushEnd::Broken,
+                };
             }
         }
     }
@@ -89,13 +106,13 @@
     interleaved: &InterleavedLines,
     stream: &TcpStream,
     first_line_sent: bool,
-) -> bool {
+) -> FlushEnd {
     let mut at_line_start = first_line_sent;
     loop {
         if at_line_start {
             let lines = interleaved.take();
             if !lines.is_empty() && write_all(stream, &lines).await.is_err() {
-                return false;
+                return FlushEnd::Broken;
             }
         }
         let ready = tokio::select! {
@@ -118,7 +135,7 @@
         if let Err(error) = written
             && recover(error).await.is_err()
         {
-            return false;
+            return FlushEnd::Broken;
         }
     }
 }
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -87,6 +87,11 @@
         self.reader.get_mut().write_all(text.as_bytes()).expect("a connection that accepts data");
     }
 
+    /// Sends text, unless the connection has ended.
+    pub fn try_send(&mut self, text: &str) {
+        let _ = self.reader.get_mut().write_all(text.as_bytes());
+    }
+
     /// Sends a line repeatedly until all buffers on the way are full; the last line may be incomplete.
     pub fn flood(&mut self, line: &str) {
         let stream = self.reader.get_mut();
--- a/sessions/src/interface.rs
+++ b/sessions/src/interface.rs
@@ -161,13 +161,15 @@
         /// Number of the last applied save.
         n: u64,
     },
-    /// The attempt has ended and its server no longer holds the session: either the server has closed the
-    /// connection, or the time returned by [`hold_until`](crate::Sessions::hold_until) has passed.
+    /// The attempt has ended. A request that continues at another server must not start its next attempt
+    /// while the server of this one may hold the session.
     AttemptEnded {
         /// The request.
         request: RequestId,
         /// True if the server has reported that the session itself has ended.
         session_over: bool,
+        /// Whether the server has released the session.
+        holder: HolderEnd,
     },
     /// The request has ended: its client has disconnected, has received a final answer or was moved. Its
     /// attempt may still be open and end later.
@@ -192,6 +194,17 @@
     Timer,
 }
 
+/// What the end of an attempt tells about the server's hold on the session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderEnd {
+    /// The server has closed the connection in order, which it does after it has released the session, or it
+    /// never received the request.
+    Released,
+    /// The connection has failed, or the server has not closed it. The server may hold the session until the
+    /// time returned by [`hold_until`](crate::Sessions::hold_until).
+    Lost,
+}
+
 /// Reason why a request for a session was rejected for good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejection {
@@ -289,6 +302,22 @@
         /// Time since the session was requested.
         took_ms: Millis,
     },
+    /// The connection of a session is lost, and its server may still hold it.
+    HolderLost {
+        /// The session.
+        session: SessionId,
+        /// The server.
+        server: ServerId,
+        /// Maximum remaining time of its lease.
+        hold_ms: Millis,
+    },
+    /// The server of a lost connection has released the session before its lease has expired.
+    HolderReleased {
+        /// The session.
+        session: SessionId,
+        /// The server.
+        server: ServerId,
+    },
     /// The replicas of a session have changed.
     ReplicasChanged {
         /// The session.
--- a/sessions/src/session.rs
+++ b/sessions/src/session.rs
@@ -19,6 +19,8 @@
     Established,
     /// Its connection is closing, and the server may still hold it.
     Closing,
+    /// Its connection is lost, and the server may hold it until its lease expires.
+    Expiring,
     /// No server holds it. The last owner maintains its replicas.
     Detached,
 }
@@ -80,6 +82,8 @@
     pub has_lease: bool,
     /// Time, on this clock, by which the holder's lease has ended.
     pub hold_until: Millis,
+    /// True once the server has reported that the session itself has ended.
+    pub is_over: bool,
     /// Time at which the client receives its next token.
     pub next_token_at: Millis,
     /// Expiry time of the last token.
@@ -113,6 +117,7 @@
             lease_request: None,
             has_lease: false,
             hold_until: 0.0,
+            is_over: false,
             next_token_at: f64::INFINITY,
             token_expires_at: f64::INFINITY,
             pending_takeover: None,
@@ -165,9 +170,14 @@
         self.quorum_value(0, |r| r.upto)
     }
 
+    /// Returns the time until which another connection waits to take the session over.
+    pub fn takeover_deadline(&self) -> Millis {
+        self.pending_takeover.map_or(f64::INFINITY, |(.., deadline)| deadline)
+    }
+
     /// Returns true while a server holds the session or may do so.
     pub fn may_be_held(&self) -> bool {
-        matches!(self.state, State::Attempting | State::Established | State::Closing)
+        matches!(self.state, State::Attempting | State::Established | State::Closing | State::Expiring)
     }
 
     /// Returns true if no operation is in progress, so that the session can be handed over.
--- a/sessions/src/state_machine.rs
+++ b/sessions/src/state_machine.rs
@@ -1,7 +1,9 @@
 //! The state machine: takes events and emits commands. `claims` contains the claims on sessions, `lifecycle`
-//! the sessions with a server, and `replication` the links, leases and lease replicas.
+//! the sessions with a server, `hold_end` the end of a server's hold, and `replication` the links, leases and
+//! lease replicas.
 
 mod claims;
+mod hold_end;
 mod lifecycle;
 mod replication;
 
@@ -53,6 +55,8 @@
     sessions_by_replica: FxHashMap<u64, FxHashSet<SessionId>>,
     /// Sessions with a claim in progress.
     claiming: FxHashSet<SessionId>,
+    /// Sessions that a server may hold whose connection is lost.
+    expiring: FxHashSet<SessionId>,
     /// Number of the last call of a claim.
     last_call: u64,
     /// Sessions whose holder has requested a lease that is not granted yet.
@@ -90,6 +94,7 @@
             requests: FxHashMap::default(),
             sessions_by_replica: FxHashMap::default(),
             claiming: FxHashSet::default(),
+            expiring: FxHashSet::default(),
             last_call: 0,
             awaiting_lease: FxHashSet::default(),
             review_queue: VecDeque::new(),
@@ -117,8 +122,8 @@
             Event::SaveReceived { request, field } => self.on_save_received(request, field, commands),
             Event::TokenConfirmed { request } => self.on_token_confirmed(request, commands),
             Event::SavesApplied { request, n } => self.on_saves_applied(request, n),
-            Event::AttemptEnded { request, session_over } => {
-                self.on_attempt_ended(request, session_over, commands)
+            Event::AttemptEnded { request, session_over, holder } => {
+                self.on_attempt_ended(request, session_over, holder, commands)
             }
             Event::RequestClosed { request } => self.on_request_closed(request, commands),
             Event::Adopt { request, server, handover } => self.on_adopt(request, server, handover, commands),
@@ -144,8 +149,8 @@
         self.owner
     }
 
-    /// Returns the time, on this clock, until which the server of the request's attempt may hold the session.
-    /// An attempt that its server does not end must be considered ended at this time and not earlier.
+    /// Returns the time, on this clock, until which the server of the request's attempt may hold the session
+    /// unless it closes the connection before.
     #[must_use]
     pub fn hold_until(&self, request: RequestId) -> Millis {
         self.session_of(request).map_or(0.0, |s| s.hold_until)
@@ -270,6 +275,7 @@
             self.requests.remove(&request);
         }
         self.claiming.remove(&id);
+        self.expiring.remove(&id);
         self.awaiting_lease.remove(&id);
         self.total_journal_bytes -= session.journal.bytes();
         self.timers.clear(TimerKey::Session(id));
--- a/sessions/src/state_machine/claims.rs
+++ b/sessions/src/state_machine/claims.rs
@@ -72,7 +72,7 @@
                 self.requests.insert(request, id);
                 commands.extend(taken.map(Command::Taken));
             }
-            State::Closing if session.pending_takeover.is_none() => {
+            State::Closing | State::Expiring if session.pending_takeover.is_none() => {
                 session.pending_takeover = Some((request, token.epoch, deadline));
                 self.requests.insert(request, id);
             }
@@ -235,7 +235,13 @@
         }
     }
 
-    fn request_release(&mut self, id: SessionId, holder: u64, ballot: Ballot, commands: &mut Vec<Command>) {
+    pub(super) fn request_release(
+        &mut self,
+        id: SessionId,
+        holder: u64,
+        ballot: Ballot,
+        commands: &mut Vec<Command>,
+    ) {
         if self.servers.get(&holder).is_some_and(super::Server::is_linked) {
             let call = Call::new(call::Body::LetGo(LetGo { session: id, ballot }));
             commands.push(Command::Call { server: ServerId(holder), call });
@@ -377,10 +383,11 @@
         released: LetGo,
         commands: &mut Vec<Command>,
     ) {
-        let Some(State::Claiming(claim)) = self.sessions.get_mut(&released.session).map(|s| &mut s.state)
-        else {
+        if self.on_expiring_released(server, released, commands) {
             return;
-        };
+        }
+        let now = self.now;
+        let Some(claim) = self.claim_in_progress(released.session) else { return };
         let is_answered = |request: ReleaseRequest| {
             request.holder.server == server.0 && released.ballot >= request.holder.ballot
         };
@@ -388,7 +395,7 @@
             return;
         }
         claim.released_ballot = claim.released_ballot.max(Some(released.ballot));
-        claim.retry_at = self.now;
+        claim.retry_at = now;
         self.on_claim_timer(released.session, commands);
     }
 
@@ -499,7 +506,8 @@
                 session.next_token_at.min(if session.has_lease { session.hold_until } else { f64::INFINITY })
             }
             State::Detached => session.token_expires_at,
-            State::Closing => session.pending_takeover.map_or(f64::INFINITY, |(.., deadline)| deadline),
+            State::Closing => session.takeover_deadline(),
+            State::Expiring => session.hold_until.min(session.takeover_deadline()),
             State::Claimed | State::Attempting => f64::INFINITY,
         };
         self.timers.set(TimerKey::Session(id), at);
--- a/sessions/src/state_machine/lifecycle.rs
+++ b/sessions/src/state_machine/lifecycle.rs
@@ -1,7 +1,7 @@
 //! A session at its server: leases, saves, tokens and its end.
 
 use super::{Sessions, TimerKey};
-use crate::interface::{Command, LogEvent, SessionHandover};
+use crate::interface::{Command, HolderEnd, LogEvent, SessionHandover};
 use crate::journal::SaveError;
 use crate::placement;
 use crate::session::{Session, State};
@@ -276,26 +276,26 @@
         &mut self,
         request: RequestId,
         session_over: bool,
+        holder_end: HolderEnd,
         commands: &mut Vec<Command>,
     ) {
+        let now = self.now;
         let Some(session) = self.connected_session(request) else { return };
         let id = session.id;
-        session.holder = None;
-        session.has_lease = false;
-        session.hold_until = 0.0;
         session.lease_request = None;
-        match session.state {
-            // The request may continue at another server, under a new ballot.
-            State::Attempting => session.state = State::Claimed,
-            State::Established | State::Closing => self.release_session(id, session_over, commands),
-            State::Claiming(_) | State::Claimed | State::Detached => {}
-        }
+        session.is_over = session_over;
+        let may_be_held = holder_end == HolderEnd::Lost && session.hold_until > now;
         self.awaiting_lease.remove(&id);
+        if may_be_held {
+            self.await_lease_expiry(id, commands);
+        } else {
+            self.end_hold(id, commands);
+        }
         self.schedule(id);
     }
 
     /// Releases a session that no server holds any more, and starts a pending takeover.
-    fn release_session(&mut self, id: SessionId, session_over: bool, commands: &mut Vec<Command>) {
+    pub(super) fn release_session(&mut self, id: SessionId, session_over: bool, commands: &mut Vec<Command>) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         // If the connection was never established, the client has no token to resume with.
         let session_over = session_over || session.token_expires_at.is_infinite();
@@ -343,7 +343,7 @@
             }
             State::Attempting | State::Established => session.state = State::Closing,
             State::Closing if session.holder.is_none() => self.release_session(id, false, commands),
-            State::Closing | State::Detached => {}
+            State::Closing | State::Expiring | State::Detached => {}
         }
         self.schedule(id);
     }
@@ -413,7 +413,8 @@
                 self.send_release(&members, id, ballot, true, commands);
                 self.remove(id);
             }
-            State::Closing => {
+            State::Expiring if session.hold_until <= now => self.end_hold(id, commands),
+            State::Closing | State::Expiring => {
                 if let Some((request, ..)) =
                     session.pending_takeover.take_if(|(.., deadline)| *deadline <= now)
                 {
--- a/sessions/src/state_machine/replication.rs
+++ b/sessions/src/state_machine/replication.rs
@@ -180,6 +180,7 @@
         self.on_link_timer(server.0, commands);
         // The replica must receive the lease renewal, which has just been sent, before any claim.
         self.query_linked_server(server.0, commands);
+        self.request_releases_at(server, commands);
         self.queue_reviews_of(server.0);
     }
 
--- a/sessions/tests/simulated_network/mod.rs
+++ b/sessions/tests/simulated_network/mod.rs
@@ -9,7 +9,9 @@
     SessionClientConfig,
 };
 use marllink_lease_protocol::{Ballot, Call, Field, Reply, SessionId, call, reply};
-use marllink_sessions::{Command, Event, KeyRing, ListedServer, SessionRequest, Sessions, Settings};
+use marllink_sessions::{
+    Command, Event, HolderEnd, KeyRing, ListedServer, SessionRequest, Sessions, Settings,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -41,6 +43,7 @@
     ServerLine(u64, String),
     ServerClosed(u64),
     ServerRefused(u64),
+    ConnectionLost(u64),
     LinkUp(usize, u64),
     LinkDown(usize),
     ReplyReceived(usize, Reply),
@@ -67,6 +70,9 @@
     Kill(Node, f64),
     Stall(Node, f64),
     Partition(Node, Node, f64),
+    /// The established connections to a server are reset towards their balancers; the server notices that
+    /// this much later.
+    Reset(usize, f64),
     RotateKeys(u32),
 }
 
@@ -335,6 +341,7 @@
             Fault::Partition(first, second, for_ms) => {
                 self.partitions.push((first, second, self.now + for_ms))
             }
+            Fault::Reset(server_index, unnoticed_ms) => self.reset_connections(server_index, unnoticed_ms),
             Fault::RotateKeys(id) => {
                 self.current_key = id;
                 let key_file = format!(
@@ -348,6 +355,22 @@
         }
     }
 
+    fn reset_connections(&mut self, server_index: usize, unnoticed_ms: f64) {
+        for balancer_index in 0..self.balancers.len() {
+            let of_server = |request: &Request| {
+                request.server.filter(|(_, server)| *server == server_index && request.established)
+            };
+            let requests = self.balancers[balancer_index].requests.values();
+            let mut connections: Vec<_> =
+                requests.filter_map(of_server).map(|(connection, _)| connection).collect();
+            connections.sort_unstable();
+            for connection in connections {
+                self.schedule(0.0, Node::Balancer(balancer_index), Delivery::ConnectionLost(connection));
+                self.schedule(unnoticed_ms, Node::Server(server_index), Delivery::BalancerClosed(connection));
+            }
+        }
+    }
+
     fn kill(&mut self, node: Node, for_ms: f64) {
         match node {
             Node::Server(server_index) => {
@@ -512,7 +535,17 @@
             }
             Delivery::ServerLine(connection, line) => self.on_server_line(balancer_index, connection, &line),
             Delivery::ServerClosed(connection) | Delivery::ServerRefused(connection) => {
-                self.on_server_closed(balancer_index, connection)
+                self.on_server_closed(balancer_index, connection, HolderEnd::Released)
+            }
+            Delivery::ConnectionLost(connection) => {
+                // The server does not see the balancer close a connection that is reset.
+                let request = self.balancers[balancer_index].request_by_server.get(&connection).copied();
+                if let Some(entry) =
+                    request.and_then(|request| self.balancers[balancer_index].requests.get_mut(&request))
+                {
+                    entry.server = None;
+                }
+                self.on_server_closed(balancer_index, connection, HolderEnd::Lost)
             }
             Delivery::HoldExpired(connection, request) => {
                 let until = self.balancers[balancer_index].sessions.hold_until(request);
@@ -524,7 +557,7 @@
                             Delivery::HoldExpired(connection, request),
                         );
                     } else {
-                        self.on_server_closed(balancer_index, connection);
+                        self.on_server_closed(balancer_index, connection, HolderEnd::Lost);
                     }
                 }
             }
@@ -589,8 +622,8 @@
         );
     }
 
-    /// Handles the end of an attempt. Its server no longer holds the session.
-    fn on_server_closed(&mut self, balancer_index: usize, connection: u64) {
+    /// Handles the end of an attempt.
+    fn on_server_closed(&mut self, balancer_index: usize, connection: u64, holder: HolderEnd) {
         let Some(request) = self.balancers[balancer_index].request_by_server.remove(&connection) else {
             return;
         };
@@ -606,7 +639,7 @@
                 Delivery::BalancerClosed(connection),
             );
         }
-        self.feed(balancer_index, Event::AttemptEnded { request, session_over });
+        self.feed(balancer_index, Event::AttemptEnded { request, session_over, holder });
         if established || request_closed {
             self.close_client(balancer_index, request);
         } else {
