Take a replica for restarted only if it was heard from since the claim began

Not seen in the field; found by reading what else counts a majority on less than proof.

Cause: a token names the runs of its replicas. A link to another run was taken as proof that the named run had ended, but numbers of runs have no order: the link may be the older one.

Evidence: link_to_an_earlier_run_of_a_replica_is_no_proof_that_the_record_is_lost; with the new check taken out the claim ends in ERR, with it in BUSY, or goes on once the link is new.

Why it works: a handshake or a renewal that was sent after the claim began, and confirmed, shows that the run at the link's other end is the later one. If there is none yet, the lease is renewed at once, which takes a round trip; until then the replica counts as unanswered.

--- a/sessions/src/claim.rs
+++ b/sessions/src/claim.rs
@@ -63,6 +63,8 @@
     pub replicas: Configuration,
     /// Answers of the replicas, in the order of `replicas.members`.
     pub answers: Vec<ReplicaAnswer>,
+    /// Time at which the claim began, after the client's token was issued.
+    pub started_at: Millis,
     /// Time at which the claim fails.
     pub deadline: Millis,
     /// Time at which the replicas that have not promised are queried again.
@@ -129,6 +131,16 @@
         }
     }
 
+    /// Returns true if the claim waits for this server, and names another run of it than this incarnation.
+    pub fn waits_for_other_run(&self, server: u64, incarnation: u64) -> bool {
+        let mut replicas = self.replicas.members.iter().zip(&self.answers);
+        replicas.any(|(member, answer)| {
+            member.server == server
+                && member.incarnation != incarnation
+                && matches!(answer, ReplicaAnswer::Pending(_))
+        })
+    }
+
     /// Returns true if a query must be sent to a replica with this answer: none was sent, or one without the
     /// proof that there is now.
     pub fn needs_query(&self, answer: &ReplicaAnswer) -> bool {
--- a/sessions/src/claim/tests.rs
+++ b/sessions/src/claim/tests.rs
@@ -19,6 +19,7 @@
         ballot: ballot(6, 0),
         replicas: replicas(1, &[1, 2, 3]),
         answers: answers.into(),
+        started_at: 0.0,
         deadline: 0.0,
         retry_at: 0.0,
         released_ballot: None,
--- a/sessions/src/state_machine/claims.rs
+++ b/sessions/src/state_machine/claims.rs
@@ -131,6 +131,7 @@
             ballot: Ballot { epoch: epoch + 1, attempt: 0 },
             replicas: Configuration::default(),
             answers: Vec::new(),
+            started_at: now,
             deadline,
             retry_at: f64::INFINITY,
             released_ballot: None,
@@ -155,15 +156,40 @@
         }
     }
 
-    /// Continues the claims that wait for this server, whose link has just come up.
-    pub(super) fn query_linked_server(&mut self, server: u64, commands: &mut Vec<Command>) {
+    fn claims_in_progress(&self) -> Vec<SessionId> {
         let mut claims: Vec<_> = self.claiming.iter().copied().collect();
         claims.sort_unstable();
-        for id in claims {
+        claims
+    }
+
+    /// Continues the claims that wait for this server, whose link has just come up.
+    pub(super) fn query_linked_server(&mut self, server: u64, commands: &mut Vec<Command>) {
+        for id in self.claims_in_progress() {
             if let Some(claim) = self.claim_in_progress(id) {
                 claim.forget_query(server);
             }
             self.query_replicas(id, Some(server), commands);
+            self.repeat_release_request(id, server, commands);
+        }
+    }
+
+    /// Requests the release of a session again if this server, whose link has just come up, has not replied.
+    fn repeat_release_request(&mut self, id: SessionId, server: u64, commands: &mut Vec<Command>) {
+        let Some(claim) = self.claim_in_progress(id) else { return };
+        let Some(ReleaseRequest { holder, .. }) = claim.release_request else { return };
+        if holder.server == server && claim.released_ballot < Some(holder.ballot) {
+            self.request_release(id, server, holder.ballot, commands);
+        }
+    }
+
+    /// Continues the claims that wait for another run of this server, which is known to have ended if the
+    /// server is in its current run after the claim has begun.
+    pub(super) fn check_for_restart(&mut self, server: u64, incarnation: u64, commands: &mut Vec<Command>) {
+        for id in self.claims_in_progress() {
+            let waits = |claim: &mut Claim| claim.waits_for_other_run(server, incarnation);
+            if self.claim_in_progress(id).is_some_and(waits) {
+                self.query_replicas(id, Some(server), commands);
+            }
         }
     }
 
@@ -171,11 +197,6 @@
     /// just come up.
     pub(super) fn query_replicas(&mut self, id: SessionId, only: Option<u64>, commands: &mut Vec<Command>) {
         let Some(claim) = self.claim_in_progress(id) else { return };
-        // The link to the holder has just come up, and its release is still outstanding.
-        let release_due = claim
-            .release_request
-            .map(|request| request.holder)
-            .filter(|h| only == Some(h.server) && claim.released_ballot < Some(h.ballot));
         let members = claim.replicas.members.iter().zip(&claim.answers);
         let unanswered: Vec<_> = members
             .filter(|(_, answer)| claim.needs_query(answer))
@@ -185,9 +206,6 @@
         for member in unanswered {
             self.query_replica(id, member, commands);
         }
-        if let Some(holder) = release_due {
-            self.request_release(id, holder.server, holder.ballot, commands);
-        }
         self.evaluate_answers(id, commands);
     }
 
@@ -209,9 +227,15 @@
                 }
                 self.send_claim_call(id, member, number, call::Body::Claim(call), commands);
             }
-            // The server has restarted and lost its records.
             Some(server) if server.is_linked() => {
-                if let Some(answer) = self.claim_in_progress(id).and_then(|c| c.answer_of(member.server)) {
+                let alive_at = server.alive_at;
+                let Some(claim) = self.claim_in_progress(id) else { return };
+                let started_at = claim.started_at;
+                if alive_at < started_at {
+                    // The link may be to a run of the server before the one that the token names.
+                    self.renew_after(member.server, started_at);
+                } else if let Some(answer) = claim.answer_of(member.server) {
+                    // The server has restarted and lost its records.
                     *answer = ReplicaAnswer::NoRecord;
                 }
             }
--- a/sessions/src/state_machine/replication.rs
+++ b/sessions/src/state_machine/replication.rs
@@ -39,6 +39,11 @@
     /// Time until which it is assumed to be full.
     pub full_until: Millis,
     link: Link,
+    /// Time at which the link was last opened.
+    opened_at: Millis,
+    /// Latest time after which the server has shown that it is in its current run, by its handshake or the
+    /// confirmation of a renewal.
+    pub alive_at: Millis,
     /// Incremented whenever a lease may have lapsed.
     lease_generation: u32,
     /// End of the current lease on this clock; 0 before the first renewal on a link is confirmed.
@@ -159,6 +164,7 @@
         server.needed_until = now + IDLE_LINK_TIMEOUT_MS;
         if server.link == Link::Down && (server.failures == 0 || server.next_attempt_at <= now) {
             server.link = Link::Connecting;
+            server.opened_at = now;
             commands.push(Command::OpenLink(ServerId(number)));
         }
     }
@@ -171,6 +177,7 @@
         };
         entry.link = Link::Up(incarnation);
         entry.failures = 0;
+        entry.alive_at = entry.opened_at;
         entry.lease_until = 0.0;
         entry.lease_lapsed = true;
         entry.lease_generation += 1;
@@ -210,6 +217,7 @@
         match server.link {
             Link::Down if needed && server.next_attempt_at <= now => {
                 server.link = Link::Connecting;
+                server.opened_at = now;
                 commands.push(Command::OpenLink(ServerId(number)));
             }
             Link::Down if needed => {
@@ -256,6 +264,16 @@
         }
     }
 
+    /// Renews the lease at a server now, unless a renewal was sent at this time or later.
+    pub(super) fn renew_after(&mut self, number: u64, time: Millis) {
+        let now = self.now;
+        let Some(server) = self.servers.get_mut(&number) else { return };
+        if server.pending_renewals.back().is_none_or(|(_, sent_at)| *sent_at < time) {
+            server.next_attempt_at = now;
+            self.timers.set_earlier(TimerKey::Link(number), now);
+        }
+    }
+
     pub(super) fn on_reply(&mut self, server: ServerId, reply: Reply, commands: &mut Vec<Command>) {
         match reply.body {
             Some(reply::Body::Renewed(renewed)) => self.on_renewed(server.0, renewed.k, commands),
@@ -274,6 +292,11 @@
         let Some(index) = server.pending_renewals.iter().position(|(n, _)| *n == k) else { return };
         let (_, sent_at) =
             server.pending_renewals.drain(..=index).next_back().expect("the renewal is pending");
+        server.alive_at = sent_at;
+        if let Some(incarnation) = server.incarnation() {
+            self.check_for_restart(number, incarnation, commands);
+        }
+        let Some(server) = self.servers.get_mut(&number) else { return };
         if sent_at + lease_duration_ms <= now {
             return;
         }
--- a/sessions/tests/claim_interleavings.rs
+++ b/sessions/tests/claim_interleavings.rs
@@ -114,8 +114,18 @@
 
 /// Has a new session held, and returns the servers and the client's token.
 fn hold_session(scenario: Scenario) -> (EmulatedServers, Vec<u8>) {
+    hold_session_with(scenario, |_| ())
+}
+
+/// Has a new session held by servers that were changed before, and returns them and the client's token.
+fn hold_session_with(
+    scenario: Scenario,
+    change: impl FnOnce(&mut EmulatedServers),
+) -> (EmulatedServers, Vec<u8>) {
     let sessions = Sessions::new(Settings::default(), keys(), [1; 32], START_MS, UNIX_MS);
-    let mut owner = Balancer::new(START_MS, sessions, EmulatedServers::new(scenario.holder_silent));
+    let mut servers = EmulatedServers::new(scenario.holder_silent);
+    change(&mut servers);
+    let mut owner = Balancer::new(START_MS, sessions, servers);
     let (request, session_request) = (OWNER_REQUEST, SessionRequest::New);
     owner.feed(Event::SessionRequested { request, session_request, wait_ms: 4_800.0 });
     hold_events(request).into_iter().for_each(|event| owner.feed(event));
@@ -217,3 +227,35 @@
         }
     }
 }
+
+/// A server has restarted and stores the session; the claimant's link is still to its run before, and silent.
+#[test]
+fn link_to_an_earlier_run_of_a_replica_is_no_proof_that_the_record_is_lost() {
+    for link_recovers in [false, true] {
+        let scenario = Scenario { restarted: 1, ..Scenario::default() };
+        let (mut servers, token) = hold_session_with(scenario, |servers| servers.get_mut(3).incarnation = 2);
+        let now = START_MS + HELD_MS;
+        servers.get_mut(2).replica = LeaseReplica::new(100, None);
+        servers.get_mut(2).incarnation = 2;
+        servers.get_mut(3).incarnation = 1;
+        let sessions = Sessions::new(Settings::default(), keys(), [2; 32], now, UNIX_MS + HELD_MS);
+        let mut balancer = Balancer::new(now, sessions, servers);
+        balancer.servers.cut_off.insert(3);
+        // The claim begins after the link was last heard from.
+        balancer.now += 1.0;
+        let session_request = SessionRequest::Resume(token);
+        balancer.feed(Event::SessionRequested { request: CLAIM_REQUEST, session_request, wait_ms: 4_800.0 });
+        balancer.deliver_all();
+        let mut claimant = Claimant { balancer, early_timers: 0, lost_links: 0 };
+        assert_eq!(claimant.answer(), None);
+        if link_recovers {
+            claimant.balancer.servers.cut_off.clear();
+            claimant.balancer.servers.get_mut(3).incarnation = 2;
+            claimant.balancer.feed(Event::LinkDown { server: ServerId(3) });
+        }
+        let until = claimant.balancer.now + 2_000.0;
+        claimant.balancer.run_until(until);
+        let expected = if link_recovers { Answer::Proceed } else { Answer::Busy };
+        assert_eq!(claimant.answer(), Some(expected));
+    }
+}
--- a/sessions/tests/emulated_replicas/mod.rs
+++ b/sessions/tests/emulated_replicas/mod.rs
@@ -5,7 +5,7 @@
 use marllink_emulator::model::LeaseReplica;
 use marllink_lease_protocol::{Call, Reply, call, reply};
 use marllink_sessions::{Command, Event, KeyRing, ListedServer, Sessions};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const SECRET: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 pub const UNIX_MS: f64 = 1_700_000_000_000.0;
@@ -34,6 +34,8 @@
     pub by_number: BTreeMap<u64, EmulatedServer>,
     /// The holder does not answer the request to release the session.
     pub holder_silent: bool,
+    /// Servers that receive nothing on their links, and send nothing.
+    pub cut_off: BTreeSet<u64>,
 }
 
 impl EmulatedServers {
@@ -43,7 +45,11 @@
             incarnation: 1,
             replies: VecDeque::new(),
         };
-        Self { by_number: (1..=SERVERS).map(|number| (number, server())).collect(), holder_silent }
+        Self {
+            by_number: (1..=SERVERS).map(|number| (number, server())).collect(),
+            holder_silent,
+            cut_off: BTreeSet::new(),
+        }
     }
 
     pub fn get_mut(&mut self, number: u64) -> &mut EmulatedServer {
@@ -57,6 +63,9 @@
 
     /// Handles a call at once. Its reply waits, but the reply to a renewal is returned.
     pub fn call(&mut self, now: f64, owner: u64, number: u64, call: &Call) -> Option<Reply> {
+        if self.cut_off.contains(&number) {
+            return None;
+        }
         let holder_silent = self.holder_silent;
         let server = self.get_mut(number);
         let reply = match call.body.as_ref()? {
