--- a/sessions/src/session.rs
+++ b/sessions/src/session.rs
@@ -48,6 +48,16 @@
     }
 }
 
+/// Another connection of the client that takes the session over once its current one has ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PendingTakeover {
+    pub request: RequestId,
+    /// Epoch of the token that the client presented.
+    pub token_epoch: u64,
+    /// Time until which the request waits.
+    pub deadline: Millis,
+}
+
 /// A session known to this process.
 #[derive(Debug)]
 pub struct Session {
@@ -88,9 +98,8 @@
     pub next_token_at: Millis,
     /// Expiry time of the last token.
     pub token_expires_at: Millis,
-    /// Another connection that takes the session over once this one has ended: its request, the epoch of its
-    /// token, and the time until which it waits.
-    pub pending_takeover: Option<(RequestId, u64, Millis)>,
+    /// The connection that waits to take the session over.
+    pub pending_takeover: Option<PendingTakeover>,
     /// Owner number of the process that handed the session over under the current ballot; 0 for none.
     pub previous_owner: u64,
 }
@@ -172,7 +181,7 @@
 
     /// Returns the time until which another connection waits to take the session over.
     pub fn takeover_deadline(&self) -> Millis {
-        self.pending_takeover.map_or(f64::INFINITY, |(.., deadline)| deadline)
+        self.pending_takeover.map_or(f64::INFINITY, |takeover| takeover.deadline)
     }
 
     /// Returns true while a server holds the session or may do so.
@@ -194,27 +203,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_save_is_durable_only_at_a_majority_of_both_configurations_during_a_change() {
-        let member = |n: u64| Member { server: n, incarnation: 1 };
-        let replicas =
-            |number, servers: [u64; 3]| Configuration { number, members: servers.map(member).into() };
-        let mut session = Session::new(SessionId::default(), State::Established, None, 0.0);
-        session.set_replicas(replicas(1, [1, 2, 3]));
-        for (server, upto) in [(1, 9), (2, 7), (3, 4)] {
-            session.replica_state(server).expect("the server is a replica").upto = upto;
-        }
-        assert_eq!(session.durable_upto(), 7);
-        session.replica_states.push(ReplicaState::new(member(4)));
-        session.next_replicas = Some(replicas(2, [1, 3, 4]));
-        assert_eq!(session.durable_upto(), 4);
-        session.replica_state(4).expect("the server is a replica").upto = 8;
-        assert_eq!(session.durable_upto(), 7, "the current configuration has no majority beyond 7");
-        session.set_replicas(Configuration { number: 3, members: vec![member(1)] });
-        session.replica_state(1).expect("the server is a replica").upto = 5;
-        assert_eq!(session.durable_upto(), 5);
-    }
-}
+mod tests;
--- a/sessions/src/state_machine.rs
+++ b/sessions/src/state_machine.rs
@@ -271,8 +271,8 @@
         if let Some(request) = session.request {
             self.requests.remove(&request);
         }
-        if let Some((request, ..)) = session.pending_takeover {
-            self.requests.remove(&request);
+        if let Some(takeover) = session.pending_takeover {
+            self.requests.remove(&takeover.request);
         }
         self.claiming.remove(&id);
         self.expiring.remove(&id);
--- a/sessions/src/state_machine/claims.rs
+++ b/sessions/src/state_machine/claims.rs
@@ -4,7 +4,7 @@
 use crate::claim::{Claim, PendingPointer, ReleaseRequest, ReplicaAnswer, SentQuery, Step};
 use crate::interface::{Command, LogEvent, Rejection, SessionRequest};
 use crate::pending_calls::CallNumber;
-use crate::session::{Session, State};
+use crate::session::{PendingTakeover, Session, State};
 use crate::token::Token;
 use marllink::{Millis, RequestId, ServerId};
 use marllink_lease_protocol::{
@@ -61,19 +61,20 @@
             commands.push(Command::ReplyError { request, reason: Rejection::Replayed });
             return;
         }
+        let takeover = PendingTakeover { request, token_epoch: token.epoch, deadline };
         match session.state {
             State::Detached => self.claim(id, request, token.epoch, None, deadline, commands),
             // The new connection takes precedence: the old one may be half-open. If its client is still
             // there, it is notified.
             State::Established if session.pending_takeover.is_none() => {
-                session.pending_takeover = Some((request, token.epoch, deadline));
+                session.pending_takeover = Some(takeover);
                 session.state = State::Closing;
                 let taken = session.request;
                 self.requests.insert(request, id);
                 commands.extend(taken.map(Command::Taken));
             }
             State::Closing | State::Expiring if session.pending_takeover.is_none() => {
-                session.pending_takeover = Some((request, token.epoch, deadline));
+                session.pending_takeover = Some(takeover);
                 self.requests.insert(request, id);
             }
             _ => self.reply_busy(request, CONFLICT_RETRY_MS, commands),
--- a/sessions/src/state_machine/lifecycle.rs
+++ b/sessions/src/state_machine/lifecycle.rs
@@ -4,7 +4,7 @@
 use crate::interface::{Command, HolderEnd, LogEvent, SessionHandover};
 use crate::journal::SaveError;
 use crate::placement;
-use crate::session::{Session, State};
+use crate::session::{PendingTakeover, Session, State};
 use crate::token::Token;
 use marllink::{Millis, RequestId, ServerId};
 use marllink_lease_protocol::{Append, Ballot, Configuration, Confirm, Field, Member, SessionId, call};
@@ -313,19 +313,19 @@
         self.send_release(&members, id, ballot, session_over, commands);
         if session_over {
             self.remove(id);
-            if let Some((request, ..)) = pending_takeover {
+            if let Some(PendingTakeover { request, .. }) = pending_takeover {
                 self.requests.remove(&request);
                 self.reply_busy(request, UNAVAILABLE_RETRY_MS, commands);
             }
-        } else if let Some((request, epoch, deadline)) = pending_takeover {
-            self.claim(id, request, epoch, None, deadline, commands);
+        } else if let Some(PendingTakeover { request, token_epoch, deadline }) = pending_takeover {
+            self.claim(id, request, token_epoch, None, deadline, commands);
         }
     }
 
     pub(super) fn on_request_closed(&mut self, request: RequestId, commands: &mut Vec<Command>) {
         let Some(id) = self.session_id_of(request) else { return };
         let Some(session) = self.sessions.get_mut(&id) else { return };
-        if session.pending_takeover.is_some_and(|(waiting, ..)| waiting == request) {
+        if session.pending_takeover.is_some_and(|takeover| takeover.request == request) {
             session.pending_takeover = None;
             self.requests.remove(&request);
             return;
@@ -415,8 +415,8 @@
             }
             State::Expiring if session.hold_until <= now => self.end_hold(id, commands),
             State::Closing | State::Expiring => {
-                if let Some((request, ..)) =
-                    session.pending_takeover.take_if(|(.., deadline)| *deadline <= now)
+                if let Some(PendingTakeover { request, .. }) =
+                    session.pending_takeover.take_if(|takeover| takeover.deadline <= now)
                 {
                     self.requests.remove(&request);
                     self.reply_busy(request, UNAVAILABLE_RETRY_MS, commands);
