Record how late a lease was released on the clock of the log, not of the server

Cause: a server that is stalled when its lease expires records that 8.5 s late, with the delay on its own clock, and the checker subtracts it from the time of the log.

--- a/emulator/src/model/record.rs
+++ b/emulator/src/model/record.rs
@@ -61,8 +61,8 @@
         session: String,
         /// The ballot under which the server held it.
         ballot: Ballot,
-        /// Time between the release by the server's own clock and this entry. A lease may expire while the server is
-        /// stalled.
+        /// Time between the release by the server's own clock and this entry, on the clock of the log. A lease may
+        /// expire while the server is stalled.
         late_ms: Millis,
     },
     /// A client has requested a new session, or to resume its session.
@@ -124,6 +124,20 @@
     },
 }
 
+impl Note {
+    /// Converts the durations of a note that a server took on its own clock to the clock of the log. `clock_rate` is
+    /// the rate of the server's clock relative to that.
+    #[must_use]
+    pub fn on_log_clock(self, clock_rate: f64) -> Self {
+        match self {
+            Self::LeaseReleased { session, ballot, late_ms } => {
+                Self::LeaseReleased { session, ballot, late_ms: late_ms / clock_rate }
+            }
+            other => other,
+        }
+    }
+}
+
 /// The kind of token that a client presents.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/emulator/src/sockets/servers.rs
+++ b/emulator/src/sockets/servers.rs
@@ -242,7 +242,9 @@
                         outbound.added.notify_one();
                     }
                 }
-                HolderAction::Record(note) => self.log.record(&server.name, note),
+                HolderAction::Record(note) => {
+                    self.log.record(&server.name, note.on_log_clock(server.clock_rate));
+                }
             }
         }
     }
--- a/sessions/tests/simulated_network/mod.rs
+++ b/sessions/tests/simulated_network/mod.rs
@@ -903,7 +903,10 @@
                         );
                     }
                 }
-                HolderAction::Record(note) => self.record(format!("h{server_index}"), note),
+                HolderAction::Record(note) => {
+                    let note = note.on_log_clock(self.servers[server_index].clock_rate);
+                    self.record(format!("h{server_index}"), note);
+                }
             }
         }
     }
