--- a/emulator/tests/drifting_clocks.rs
+++ b/emulator/tests/drifting_clocks.rs
@@ -1,4 +1,4 @@
-//! What the checker is told by servers whose clocks run at other rates than the clock of the log.
+//! Log entries of servers whose clocks run at other rates than the clock of the log.
 #![allow(missing_docs, reason = "test names describe the guarded failure")]
 
 use marllink_emulator::model::{HolderAction, LeaseHolder, Note};
--- a/node/tests/support/session_servers.rs
+++ b/node/tests/support/session_servers.rs
@@ -86,7 +86,7 @@
         Self { servers, calls, upstreams, answers_release_requests }
     }
 
-    /// Starts a balancer with sessions, and waits until it has a lease at each server.
+    /// Starts a balancer with sessions, and waits until it has a lease at one server at least.
     pub fn start_balancer(&self) -> BalancerProcess {
         let servers: Vec<_> = self.servers.iter().collect();
         let balancer = BalancerProcess::start_prepared(&servers, 256, |socket| {
@@ -100,7 +100,7 @@
             std::fs::write(folder.join("operators.json"), operators).expect("a writable file");
         });
         let mut renewals = 0;
-        // Two renewals of a server: the first one was confirmed before the second.
+        // With this many, at least one server has received two, the first of which was confirmed before.
         while renewals < 2 * servers.len() {
             let (_, body) = self.calls.recv_timeout(TIMEOUT).expect("a renewal");
             renewals += usize::from(matches!(body, call::Body::Renew(_)));
@@ -113,7 +113,7 @@
         self.upstreams.recv_timeout(TIMEOUT).expect("a connection from the balancer")
     }
 
-    /// Waits until a replica is told that the session is free, and returns when.
+    /// Waits until a replica receives the release of the session, and returns when.
     pub fn wait_for_release(&self) -> Instant {
         let deadline = Instant::now() + TIMEOUT;
         loop {
--- a/sessions/tests/holder_loss.rs
+++ b/sessions/tests/holder_loss.rs
@@ -66,7 +66,7 @@
     balancer
 }
 
-/// Returns when the replicas were first told that nobody holds the session, or were sent another claim on it.
+/// Returns when the replicas were first sent the release of the session, or another claim on it.
 fn freed_at(balancer: &Balancer) -> Option<f64> {
     let frees = |command: &Command| {
         matches!(
