--- a/review/stand-ins-2/src/common.rs
+++ b/review/stand-ins-2/src/common.rs
@@ -168,6 +168,10 @@
         command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
         let child = command.spawn()?;
         STARTED.lock().expect("no thread panics with the lock").push(child.id());
+        // For the script, in case this process is ended from outside.
+        let mut pids =
+            std::fs::OpenOptions::new().create(true).append(true).open(self.env.temporary.join("pids"))?;
+        writeln!(pids, "{}", child.id())?;
         self.env.note(format!("{}: started", self.name));
         self.child.replace(Some(child));
         for _ in 0..200 {
@@ -241,6 +245,12 @@
         }
     }
 
+    /// Returns true if the connection has ended.
+    pub async fn has_ended(&mut self) -> bool {
+        let read = timeout(Duration::from_millis(1), self.stream.fill_buf()).await;
+        matches!(read, Ok(Ok([])) | Ok(Err(_)))
+    }
+
     /// Reads lines until one begins with this word.
     pub async fn line_with(&mut self, word: &str, ms: f64) -> Option<String> {
         let until = Instant::now() + Duration::from_secs_f64(ms / 1_000.0);
@@ -288,20 +298,6 @@
     first_rev: u64,
     rev: Cell<u64>,
     changed: Notify,
-    /// What the next calls meet, in order.
-    next: RefCell<Vec<Meets>>,
-    watches_end: Notify,
-    /// A call has met this.
-    pub met: Notify,
-}
-
-/// What a call to discovery meets.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Meets {
-    /// Discovery is crowded: 503.
-    Refusal,
-    /// It falls silent: the connection stays open, and no answer comes.
-    Silence,
 }
 
 impl Discovery {
@@ -316,9 +312,6 @@
             first_rev,
             rev: Cell::new(first_rev),
             changed: Notify::new(),
-            next: RefCell::default(),
-            watches_end: Notify::new(),
-            met: Notify::new(),
         });
         let discovery = this.clone();
         tokio::task::spawn_local(async move {
@@ -351,13 +344,6 @@
         }
     }
 
-    /// Resets all open watches, and sets what the next calls meet.
-    pub fn reset_watches(&self, next: &[Meets]) {
-        self.next.replace(next.iter().rev().copied().collect());
-        self.env.note(format!("{}: resets the open watches", self.name));
-        self.watches_end.notify_waiters();
-    }
-
     /// Skips versions, as if other entries had changed and changed back.
     pub fn skip_to(&self, rev: u64) {
         self.rev.set(rev.max(self.rev.get()));
@@ -383,20 +369,6 @@
         while stream.read_line(&mut line).await? > 0 && !line.trim_end().is_empty() {
             line.clear();
         }
-        let meets = self.next.borrow_mut().pop();
-        if let Some(meets) = meets {
-            self.env.note(format!("{}: a call meets {meets:?}", self.name));
-            if meets == Meets::Refusal {
-                return stream
-                    .write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-                    .await;
-            }
-            self.met.notify_one();
-            // Only the caller ends this connection.
-            let ended = stream.read_line(&mut line).await;
-            self.env.note(format!("{}: the caller has given up the silent call: {ended:?}", self.name));
-            return Ok(());
-        }
         if !request.contains("watch=1") {
             let body = self.list(None);
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
@@ -414,7 +386,6 @@
             if self.rev.get() == sent {
                 tokio::select! {
                     () = changed => {}
-                    () = self.watches_end.notified() => return stream.get_ref().set_zero_linger(),
                     () = sleep(2_000.0) => {}
                 }
             }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -16,10 +16,9 @@
         let verdict = match case.as_str() {
             "held-twice" => sessions::held_twice(&env).await,
             "rolling-restart" => sessions::rolling_restart(&env).await,
-            "longest-line" => sessions::longest_line(&env).await,
+            "coming-back" => sessions::coming_back(&env).await,
             "repeat-window" => plain::repeat_window(&env).await,
             "moved-discovery" => plain::moved_discovery(&env).await,
-            "late-drain" => plain::late_drain(&env).await,
             "more-zones" => plain::more_zones(&env).await,
             _ => Err(std::io::Error::other("no such case")),
         };
--- a/review/stand-ins-2/src/plain.rs
+++ b/review/stand-ins-2/src/plain.rs
@@ -309,60 +309,6 @@
     })
 }
 
-/// The watch is reset, the next call is refused and the one after it is not answered; then a server drains.
-pub async fn late_drain(env: &Env) -> Result<Verdict> {
-    let grace_ms = 6_000.0 + 500.0 + 50.0;
-    let names = ["s-1", "s-2", "s-3"];
-    let sent = Rc::new(RefCell::new(Vec::new()));
-    let discovery = Discovery::start(env, "discovery", 1).await?;
-    for name in names {
-        let address = plain_server(env, name, sent.clone()).await?;
-        discovery.set(Target::new(name, address, "bkk"));
-    }
-    let balancer = Balancer::new(env, "b0")?;
-    balancer.configure(discovery.address, serde_json::from_str(&discovery.list(None))?, |_| {})?;
-    balancer.start(None).await?;
-    sleep(3_000.0).await;
-    let balancer = Rc::new(balancer);
-    let clients = {
-        let (env, balancer) = (env.clone(), balancer.clone());
-        tokio::task::spawn_local(async move {
-            let mut id = 0;
-            loop {
-                id += 1;
-                let (env, balancer, mut id) = (env.clone(), balancer.clone(), id);
-                tokio::task::spawn_local(async move { request(&env, &balancer, &mut id).await });
-                sleep(20.0).await;
-            }
-        })
-    };
-    let mut late = 0;
-    for name in names {
-        sleep(3_000.0).await;
-        if env.has_trouble() {
-            discovery.reset_watches(&[Meets::Refusal, Meets::Silence]);
-            discovery.met.notified().await;
-        }
-        let drained_at = env.now();
-        discovery.set_state(name, "DRAINING");
-        env.note(format!("{name} drains, and discovery can be reached"));
-        sleep(12_000.0).await;
-        let to_server: Vec<_> =
-            sent.borrow().iter().filter(|(_, to)| *to == name).map(|(at, _)| at - drained_at).collect();
-        let last = to_server.iter().copied().fold(0.0, f64::max);
-        let count = to_server.iter().filter(|after| **after > grace_ms).count();
-        env.note(format!(
-            "{name}: last request {last:.0} ms after its drain, {count} of them later than {grace_ms} ms"
-        ));
-        late += count;
-        discovery.set_state(name, "SERVING");
-    }
-    clients.abort();
-    balancer.note_log(&["discovery"]);
-    balancer.kill();
-    Ok(if late > 0 { Verdict::Broken } else { Verdict::Held })
-}
-
 /// What the servers of `zones` do with keyed requests.
 struct ZoneServers {
     env: Env,
--- a/review/stand-ins-2/src/sessions.rs
+++ b/review/stand-ins-2/src/sessions.rs
@@ -7,12 +7,9 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::io::Result;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 
 const KEYS: &str = r#"{"keys":[{"id":1,"seals_from":0,"secret":"5f0c1b7a99d24e3388a1c6f2740be9d35f0c1b7a99d24e3388a1c6f2740be9d3"}]}"#;
 
@@ -31,18 +28,14 @@
 }
 
 impl Fleet {
-    async fn start(
-        env: &Env,
-        count: usize,
-        through: impl AsyncFn(SocketAddr) -> Result<SocketAddr>,
-    ) -> Result<Self> {
+    async fn start(env: &Env, count: usize) -> Result<Self> {
         let log = EntryLog::new();
         let log_offset_ms = env.now() - log.now();
         let config = ServerConfig { capacity: 200, clock_drift: 0.0, injected_bug: None };
         let servers = Servers::start(log.clone(), count, 1, config, || 0.0).await?;
         let discovery = Discovery::start(env, "discovery", 1).await?;
         for index in 0..count {
-            let address = through(servers.address(index, 0)).await?;
+            let address = servers.address(index, 0);
             let az = ["bkk", "cnx"][index % 2];
             discovery.set(Target::new(servers.name(index), address, az));
         }
@@ -109,12 +102,6 @@
         }
         entries
     }
-
-    /// Returns the index of the server that holds the only session, by the log so far.
-    fn holder_in(&self, log: &[(f64, String, Note)]) -> Option<usize> {
-        let held = log.iter().rev().find(|(.., note)| matches!(note, Note::LeaseAcquired { .. }));
-        (0..self.servers.count()).find(|index| held.is_some_and(|(_, by, _)| by == self.servers.name(*index)))
-    }
 }
 
 fn short(text: &str) -> String {
@@ -173,7 +160,7 @@
         "vanish" => (false, true),
         _ => (true, true),
     };
-    let fleet = Fleet::start(env, 6, async |address| Ok(address)).await?;
+    let fleet = Fleet::start(env, 6).await?;
     let (first, second) = (fleet.balancer(0, long_ms).await?, fleet.balancer(1, long_ms).await?);
     sleep(1_500.0).await;
     let mut sessions = Vec::new();
@@ -287,7 +274,7 @@
     const SERVERS: usize = 6;
     const SESSIONS: usize = 8;
     const SAVES: u64 = 5;
-    let fleet = Fleet::start(env, SERVERS, async |address| Ok(address)).await?;
+    let fleet = Fleet::start(env, SERVERS).await?;
     let (first, second) = (fleet.balancer(0, 2_000).await?, fleet.balancer(1, 2_000).await?);
     sleep(1_500.0).await;
     let mut tokens = Vec::new();
@@ -352,115 +339,112 @@
     })
 }
 
-/// Relays connections to a server, and holds the balancer to the longest line: a longer one is answered `ERR`.
-async fn line_limit(env: Env, server: SocketAddr) -> Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-    let address = listener.local_addr()?;
-    tokio::task::spawn_local(async move {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else { continue };
-            let env = env.clone();
-            tokio::task::spawn_local(async move {
-                let _ = relay_limited(&env, stream, server).await;
-            });
+/// Stays connected at a balancer until a time: sends a line every 2 s, confirms each token, and comes again when the
+/// connection ends. Returns the last token.
+async fn stay(
+    fleet: &Fleet,
+    balancer: &Balancer,
+    mut token: String,
+    until: f64,
+    mut n: u64,
+) -> Result<(String, u64)> {
+    let env = &fleet.env;
+    while env.now() < until {
+        let (mut client, answer) = fleet.resume(balancer, &token, until - env.now()).await?;
+        if !answer.starts_with("UP ") {
+            return Err(std::io::Error::other(format!("not resumed at {}: {answer:?}", balancer.name)));
         }
-    });
-    Ok(address)
-}
-
-async fn relay_limited(env: &Env, mut balancer: TcpStream, server: SocketAddr) -> Result<()> {
-    let mut server = TcpStream::connect(server).await?;
-    let _ = (balancer.set_nodelay(true), server.set_nodelay(true));
-    let (mut line_bytes, mut is_link, mut first) = (0, false, true);
-    let (mut up, mut down) = (vec![0; 16 * 1024], vec![0; 16 * 1024]);
-    loop {
-        tokio::select! {
-            n = balancer.read(&mut up) => {
-                let n = n?;
-                if n == 0 {
-                    return Ok(());
-                }
-                if std::mem::take(&mut first) {
-                    is_link = up.starts_with(b"KEEP ");
-                }
-                if !is_link {
-                    for byte in &up[..n] {
-                        line_bytes += 1;
-                        if line_bytes > 4_096 {
-                            env.note("server: a line of the balancer is longer than 4096 bytes: ERR");
-                            return balancer.write_all(b"ERR\r\n").await;
-                        }
-                        if *byte == b'\n' {
-                            line_bytes = 0;
-                        }
-                    }
-                }
-                server.write_all(&up[..n]).await?;
+        let mut last_sent = 0.0;
+        while env.now() < until {
+            if env.now() - last_sent > 2_000.0 {
+                last_sent = env.now();
+                let _ = client.send("still here").await;
             }
-            n = server.read(&mut down) => {
-                let n = n?;
-                if n == 0 {
-                    return Ok(());
+            match client.line(500.0_f64.min(until - env.now()).max(1.0)).await {
+                Some(line) if line.starts_with("TOKEN ") => {
+                    token = line[6..].to_owned();
+                    let _ = client.send("HAVE").await;
+                    let _ = client.send(&format!("SAVE {} field-{}=value", n + 1, n + 1)).await;
                 }
-                balancer.write_all(&down[..n]).await?;
+                Some(line) if line.starts_with("SAVED ") => n = line[6..].parse().unwrap_or(n).max(n),
+                Some(line) if line == "MOVE" || line == "BYE" => break,
+                Some(_) => {}
+                // No line for a while, or the end of the connection.
+                None if client.has_ended().await => break,
+                None => {}
             }
         }
+        drop(client);
+        sleep(400.0).await;
     }
+    Ok((token, n))
 }
 
-/// A field is saved with a line of the greatest length; then its server dies.
-pub async fn longest_line(env: &Env) -> Result<Verdict> {
-    let limited = env.clone();
-    let fleet = Fleet::start(env, 5, async |address| line_limit(limited.clone(), address).await).await?;
-    let balancer = fleet.balancer(0, 2_000).await?;
+/// Clients move from one balancer to the other, half of the servers are restarted one by one, and the clients come
+/// back with their last tokens.
+pub async fn coming_back(env: &Env) -> Result<Verdict> {
+    const SERVERS: usize = 6;
+    const SESSIONS: u64 = 16;
+    let fleet = Rc::new(Fleet::start(env, SERVERS).await?);
+    let first = fleet.balancer(0, 2_000).await?;
+    let second = Rc::new(fleet.balancer(1, 2_000).await?);
     sleep(1_500.0).await;
-    let mut results = Vec::new();
-    // The shorter line shows that all else is in order.
-    for line_bytes in [4_095, 4_096] {
-        let mut begun = begin(&fleet, &balancer).await?;
-        let value = "x".repeat(line_bytes - "SAVE 1 plan=\r\n".len());
-        let saved = save(&mut begun, 1, "plan", &value).await?;
-        env.note(format!("client: SAVE of {line_bytes} bytes, confirmed with SAVED: {saved}"));
-        if !saved {
+    let mut tokens = Vec::new();
+    for number in 0..SESSIONS {
+        let mut begun = begin(&fleet, &first).await?;
+        if !save(&mut begun, 1, "field-1", &format!("value-{number}")).await? {
             return Ok(Verdict::NotRun);
         }
-        sleep(500.0).await;
-        if !env.has_trouble() {
-            // Nothing happens: the session goes on.
-            sleep(5_000.0).await;
-            let saved = save(&mut begun, 2, "note", "short").await?;
-            env.note(format!("client: the session goes on: {saved}"));
-            results.push(saved);
-            continue;
-        }
-        let Begun { client, token } = begun;
-        let log = fleet.server_log();
-        let Some(holder) = fleet.holder_in(&log) else { return Ok(Verdict::NotRun) };
-        env.note(format!("server {}: killed", fleet.servers.name(holder)));
-        fleet.servers.fault(holder, ServerFault::Kill(1_000.0));
-        sleep(1_500.0).await;
-        drop(client);
-        sleep(500.0).await;
-        let mut client = None;
-        for _ in 0..8 {
-            let (resumed, answer) = fleet.resume(&balancer, &token, 5_000.0).await?;
-            if answer.starts_with("UP ") {
-                client = Some(resumed);
-                break;
+        while let Some(line) = begun.client.line(100.0).await {
+            if let Some(token) = line.strip_prefix("TOKEN ") {
+                begun.token = token.to_owned();
             }
-            sleep(1_000.0).await;
         }
-        sleep(300.0).await;
-        fleet.server_log();
-        results.push(client.is_some());
-        env.note(format!("client: SAVE of {line_bytes} bytes, session resumed: {}", client.is_some()));
+        tokens.push(begun.token);
+    }
+    env.note("the clients go to the other balancer, and stay there");
+    let until = env.now() + 30_000.0;
+    let mut staying = Vec::new();
+    for token in tokens {
+        let (fleet, second) = (fleet.clone(), second.clone());
+        staying.push(tokio::task::spawn_local(async move { stay(&fleet, &second, token, until, 1).await }));
+    }
+    sleep(3_000.0).await;
+    for index in 0..SERVERS / 2 {
+        if env.has_trouble() {
+            fleet.restart(index).await;
+        }
+        sleep(8_000.0).await;
+    }
+    let mut sessions = Vec::new();
+    for task in staying {
+        sessions.push(task.await.map_err(std::io::Error::other)??);
+    }
+    fleet.server_log();
+    env.note("the clients come back to the first balancer, each with its last token");
+    let mut lost = 0;
+    for (number, (token, saved)) in sessions.iter().enumerate() {
+        let (client, answer) = fleet.resume(&first, token, 8_000.0).await?;
+        sleep(150.0).await;
         drop(client);
-        sleep(3_000.0).await;
+        let state = loaded_state(&fleet.server_log());
+        let complete = answer.starts_with("UP ") && state.is_some_and(|(upto, _)| upto >= *saved);
+        env.note(format!(
+            "session {number} (SAVED {saved}) at {}: {answer:?}, state {state:?}, complete: {complete}",
+            first.name
+        ));
+        if !complete {
+            lost += 1;
+            let (client, answer) = fleet.resume(&second, token, 8_000.0).await?;
+            sleep(150.0).await;
+            drop(client);
+            let state = loaded_state(&fleet.server_log());
+            env.note(format!("session {number} at {}: {answer:?}, state {state:?}", second.name));
+        }
     }
-    balancer.note_log(&["session_", "claim_"]);
-    Ok(match results[..] {
-        [true, true] => Verdict::Held,
-        [true, false] => Verdict::Broken,
-        _ => Verdict::NotRun,
-    })
+    sleep(300.0).await;
+    first.note_log(&["session_rejected", "claim_"]);
+    second.note_log(&["session_rejected", "claim_"]);
+    env.note(format!("{lost} of {SESSIONS} clients were refused with their last token"));
+    Ok(if lost == 0 { Verdict::Held } else { Verdict::Broken })
 }
