--- a/review/stand-ins-2/src/sessions.rs
+++ b/review/stand-ins-2/src/sessions.rs
@@ -384,7 +384,7 @@
 /// back with their last tokens.
 pub async fn coming_back(env: &Env) -> Result<Verdict> {
     const SERVERS: usize = 6;
-    const SESSIONS: u64 = 16;
+    const SESSIONS: u64 = 40;
     let fleet = Rc::new(Fleet::start(env, SERVERS).await?);
     let first = fleet.balancer(0, 2_000).await?;
     let second = Rc::new(fleet.balancer(1, 2_000).await?);
