--- a/review/stand-ins-2/src/sessions.rs
+++ b/review/stand-ins-2/src/sessions.rs
@@ -275,7 +275,7 @@
 /// Half of the servers are restarted one by one while the clients are away; they resume at the other balancer.
 pub async fn rolling_restart(env: &Env) -> Result<Verdict> {
     const SERVERS: usize = 6;
-    const SESSIONS: usize = 8;
+    const SESSIONS: usize = 32;
     const SAVES: u64 = 5;
     let fleet = Fleet::start(env, SERVERS).await?;
     let (first, second) = (fleet.balancer(0, 2_000).await?, fleet.balancer(1, 2_000).await?);
@@ -289,7 +289,7 @@
             }
         }
         // The client keeps the last token that it is sent.
-        while let Some(line) = begun.client.line(500.0).await {
+        while let Some(line) = begun.client.line(150.0).await {
             if let Some(token) = line.strip_prefix("TOKEN ") {
                 begun.token = token.to_owned();
             }
