--- a/review/stand-ins-2/src/plain.rs
+++ b/review/stand-ins-2/src/plain.rs
@@ -415,7 +415,7 @@
             env.note("servers in hkt and nst have joined");
             sleep(2_000.0).await;
         }
-        for _ in 0..[12, 60][round] {
+        for _ in 0..[12, 140][round] {
             number += 1;
             servers.resets.set(resets && number % 4 == 0);
             let mut client = Client::connect(balancer.listen).await?;
@@ -424,7 +424,7 @@
             let answer = client.line(6_000.0).await;
             env.note(format!("client: request {id} answered {answer:?}"));
             drop(client);
-            sleep(700.0).await;
+            sleep(450.0).await;
         }
     }
     balancer.note_log(&["SIGHUP"]);
